--- a/src/cli.rs
+++ b/src/cli.rs
@@ -36,6 +36,15 @@
         #[arg(long, value_name = "FILE")]
         settings: PathBuf,
     },
+    /// Run one entry instance on a prepared platform until it is told to stop.
+    #[command(
+        after_help = "The settings are those that the platform writes; the variable WAGTAILSADDLE_SETTINGS names the file.\n\nExample:\n  WAGTAILSADDLE_SETTINGS=settings.json wagtailsaddle entry"
+    )]
+    Entry {
+        /// Port of the metrics and the state dump.
+        #[arg(long, value_name = "PORT", default_value_t = 9464)]
+        metrics_port: u16,
+    },
     /// Check a settings file, report every problem, and print the effective settings.
     #[command(after_help = "Example:\n  wagtailsaddle check --settings entry.json")]
     Check {
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -10,9 +10,11 @@
 
 use crate::cli::{Cli, Command, InstanceArgs};
 use crate::demo;
+use crate::entry;
 use crate::error::Error;
 use crate::observe::log;
 use crate::output;
+use crate::platform::prepared::settings as platform_settings;
 use crate::server;
 use crate::settings::Settings;
 use client::Client;
@@ -27,7 +29,8 @@
 pub fn run(cli: Cli) -> Result<(), Error> {
     match cli.command {
         Command::Serve { settings } => serve(&settings),
-        Command::Check { settings } => output::json(&Settings::load(&settings)?),
+        Command::Entry { metrics_port } => entry(metrics_port),
+        Command::Check { settings } => check(&settings),
         Command::Apply {
             instance,
             files,
@@ -78,6 +81,24 @@
     server::serve(settings, log)
 }
 
+/// Checks settings in this project's own format, or in that of a prepared platform.
+fn check(path: &Path) -> Result<(), Error> {
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    if platform_settings::is_platform_format(&text) {
+        let settings = platform_settings::load(path)?;
+        output::line(&format!("{settings:#?}"));
+        return Ok(());
+    }
+    output::json(&Settings::load(path)?)
+}
+
+fn entry(metrics_port: u16) -> Result<(), Error> {
+    let path = platform_settings::path();
+    let settings = platform_settings::load(&path)?;
+    log::start_lines();
+    entry::run(settings, &path, metrics_port)
+}
+
 fn dump(instance: &InstanceArgs) -> Result<(), Error> {
     let state: serde_json::Value = Client::new(instance)?.ask(Method::GET, "/dump", "")?;
     output::json(&state)
--- /dev/null
+++ b/src/entry/control.rs
@@ -0,0 +1,118 @@
+//! Readiness, the directory, metrics and the state dump.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderValue;
+
+use super::shared::Shared;
+use super::state::State;
+use crate::http1::server::{Reply, Request};
+use crate::platform::prepared::wire;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+/// Path of the state dump.
+const DUMP_PATH: &str = "/dump";
+
+/// Answers a readiness check.
+pub(crate) fn readiness(shared: &Arc<Shared>, req: &Request) -> Reply {
+    if path(req) != wire::READINESS_PATH {
+        return Reply::empty(404);
+    }
+    let ready = shared.state().standing.ready;
+    Reply::empty(if ready { 200 } else { 503 })
+}
+
+/// Answers a caller that asks where to connect.
+pub(crate) fn directory(shared: &Arc<Shared>, req: &Request) -> Reply {
+    if path(req) != wire::DIRECTORY_PATH {
+        return Reply::empty(404);
+    }
+    let now = shared.now();
+    let state = shared.state();
+    let addresses = state.addresses(now, wire::directory_zone(&req.target));
+    if addresses.is_empty() {
+        return Reply::empty(503);
+    }
+    let keep = state
+        .tuning
+        .directory_ttl
+        .min(state.settings.max_directory_ttl);
+    json(wire::directory_body(&addresses, keep))
+}
+
+/// Answers an operator who asks for metrics or the state.
+pub(crate) fn observe(shared: &Arc<Shared>, req: &Request) -> Reply {
+    match path(req) {
+        METRICS_PATH => Reply {
+            status: 200,
+            body: shared.metrics.text().into(),
+            ..Reply::default()
+        },
+        DUMP_PATH => json(dump(&shared.state(), shared.now()).to_string().into_bytes()),
+        _ => Reply::empty(404),
+    }
+}
+
+fn dump(state: &State, now: crate::units::Time) -> serde_json::Value {
+    let targets: Vec<_> = state
+        .fleet
+        .views()
+        .map(|view| {
+            let candidate = view.candidate(now, &state.settings.zone);
+            serde_json::json!({
+                "id": view.target.id,
+                "service": view.target.service,
+                "address": view.target.address,
+                "zone": view.target.zone,
+                "leaving": view.target.leaving,
+                "cold": candidate.cold,
+                "healthy": candidate.healthy,
+                "in_flight": view.in_flight,
+                "occupied": candidate.occupied,
+                "slowness_percent": candidate.slowness_percent,
+                "report_age_ms": view.report.map(|report| millis(now.since(report.at))),
+            })
+        })
+        .collect();
+    let peers: Vec<_> = state
+        .members
+        .known()
+        .map(|(address, member)| {
+            serde_json::json!({
+                "address": address,
+                "zone": member.zone,
+                "live": state.members.is_live(now, address),
+                "standing": member.last,
+            })
+        })
+        .collect();
+    serde_json::json!({
+        "instance": state.settings.name,
+        "standing": state.standing,
+        "revision": state.replica.revision(),
+        "evacuated": state.fleet.evacuated(),
+        "targets": targets,
+        "peers": peers,
+    })
+}
+
+fn path(req: &Request) -> &str {
+    req.target.split('?').next().unwrap_or_default()
+}
+
+fn json(body: Vec<u8>) -> Reply {
+    let mut reply = Reply {
+        status: 200,
+        body: body.into(),
+        ..Reply::default()
+    };
+    let value = HeaderValue::from_static("application/json");
+    reply.headers.insert(http::header::CONTENT_TYPE, value);
+    reply
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/entry/forward.rs
@@ -0,0 +1,491 @@
+//! Takes one request from its caller to a target and back.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use http::{HeaderMap, HeaderValue};
+
+use super::attempt::{Attempted, Outbound};
+use super::model::{Repeat, Route};
+use super::shared::Shared;
+use super::state::{Choice, NoTarget};
+use super::typical::hedge_after;
+use super::verdict::{self, Fact, History, Next};
+use super::waiting::{Ticket, expected_wait};
+use crate::dispatch::quarantine::{Fingerprint, Verdict};
+use crate::http1::client::Answer;
+use crate::http1::server::{Reply, Request};
+use crate::names::{ServiceName, TargetId};
+use crate::platform::prepared::wire;
+use crate::units::Time;
+
+/// When to come back after a refusal that no load explains; targets come back and
+/// configurations arrive within fractions of a second.
+const COME_BACK: Duration = Duration::from_millis(250);
+/// Shortest and longest time to come back that is told to a caller.
+const COME_BACK_RANGE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
+/// Time between two looks for room where no end of a request announces it.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+/// Time of work that is assumed of a route before it is known.
+const ASSUMED_TYPICAL: Duration = Duration::from_millis(100);
+
+/// How a request ended, for the log and the counters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub(crate) enum Outcome {
+    /// A target's answer was passed on.
+    #[display("answered")]
+    Answered,
+    /// A target's failure was passed on.
+    #[display("target_failed")]
+    TargetFailed,
+    /// No configuration is known yet.
+    #[display("no_configuration")]
+    NoConfiguration,
+    /// No route matches.
+    #[display("no_route")]
+    NoRoute,
+    /// The request is held to crash targets.
+    #[display("quarantined")]
+    Quarantined,
+    /// It was not run, and was refused.
+    #[display("refused")]
+    Refused,
+    /// It may have run, and no answer came.
+    #[display("lost")]
+    Lost,
+    /// Its time was up while it may have been running.
+    #[display("timed_out")]
+    TimedOut,
+}
+
+impl Outcome {
+    /// The answer's status where no target's answer is passed on.
+    fn status(self) -> u16 {
+        match self {
+            Self::NoRoute => 404,
+            Self::NoConfiguration | Self::Refused | Self::Quarantined => 503,
+            Self::TimedOut => 504,
+            Self::Answered | Self::TargetFailed | Self::Lost => 502,
+        }
+    }
+}
+
+/// Serves one request of a caller.
+pub(crate) async fn serve(shared: Arc<Shared>, req: Request) -> Reply {
+    let meta = wire::request_meta(&req.headers);
+    let id: Arc<str> = meta.id.as_deref().unwrap_or_default().into();
+    let began = req.received;
+    let (outcome, reply) = match shared.admit(&req) {
+        Ok(admitted) => {
+            let left = meta.deadline.unwrap_or(admitted.route.timeout);
+            let kept = left.min(admitted.route.timeout);
+            let mut call = Call {
+                shared: &shared,
+                out: Arc::new(Outbound::new(
+                    req,
+                    meta,
+                    admitted.route.name.clone(),
+                    began + kept,
+                )),
+                until: began + kept,
+                admitted,
+                history: History::default(),
+                tried: Vec::new(),
+                hedged: false,
+            };
+            call.run().await
+        }
+        Err(outcome) => (outcome, refusal(outcome, COME_BACK)),
+    };
+    shared
+        .metrics
+        .request(&outcome.to_string(), began.elapsed());
+    if !matches!(outcome, Outcome::Answered) {
+        tracing::info!(
+            request = &*id,
+            %outcome,
+            status = reply.status,
+            took_ms = millis(began.elapsed()),
+            "request ended without success"
+        );
+    }
+    reply
+}
+
+/// A request whose route is known.
+#[derive(Debug)]
+pub(crate) struct Admitted {
+    /// The route.
+    pub route: Arc<Route>,
+    /// The service that takes it.
+    pub service: ServiceName,
+    /// What makes it the same request again.
+    pub fingerprint: Fingerprint,
+    /// Version of the configuration that it was admitted by.
+    pub version: u64,
+}
+
+type Running<'a> = FuturesUnordered<Pin<Box<dyn Future<Output = Attempted> + Send + 'a>>>;
+
+struct Call<'a> {
+    shared: &'a Arc<Shared>,
+    out: Arc<Outbound>,
+    admitted: Admitted,
+    until: Instant,
+    history: History,
+    tried: Vec<TargetId>,
+    hedged: bool,
+}
+
+impl Call<'_> {
+    async fn run(&mut self) -> (Outcome, Reply) {
+        let mut running = Running::new();
+        let mut failure: Option<Answer> = None;
+        let mut hedge_at = self.hedge_at();
+        loop {
+            if running.is_empty() {
+                match self.place().await {
+                    Ok(choice) => running.push(self.start(choice)),
+                    Err(wait) => return self.end_without_target(failure, wait),
+                }
+            }
+            let hedge = hedge_at.filter(|_| running.len() == 1);
+            tokio::select! {
+                biased;
+                Some(done) = running.next() => {
+                    self.history.note(done.fact);
+                    let next = verdict::next(
+                        done.fact,
+                        self.admitted.route.repeat,
+                        self.history,
+                        self.admitted.route.max_attempts,
+                    );
+                    let next = if running.is_empty() { self.within_budget(next, done.fact) } else { next };
+                    match next {
+                        Next::Deliver if done.fact == Fact::Answered => return self.deliver(done),
+                        _ if !running.is_empty() => failure = done.answer.or(failure),
+                        Next::Deliver => return self.deliver(done),
+                        Next::Again | Next::AgainWithinBudget => failure = done.answer.or(failure),
+                        Next::Refuse => return self.refuse(COME_BACK),
+                        Next::Fail => return self.end_without_target(failure, COME_BACK),
+                    }
+                }
+                () = sleep_until(hedge) => {
+                    hedge_at = None;
+                    running.extend(self.hedge());
+                }
+                () = tokio::time::sleep_until(self.until.into()) => return self.time_out(),
+            }
+        }
+    }
+
+    /// When a second attempt would pay; only for requests that may run twice.
+    fn hedge_at(&self) -> Option<Instant> {
+        let route = &self.admitted.route;
+        if route.repeat != Repeat::Safe || route.max_attempts < 2 {
+            return None;
+        }
+        let typical = self.shared.state().typical.of(&route.name)?;
+        Some(self.out.began + hedge_after(typical, route.objective)?)
+    }
+
+    fn within_budget(&self, next: Next, fact: Fact) -> Next {
+        if next != Next::AgainWithinBudget || self.take_repeat() {
+            return next;
+        }
+        verdict::without_repeat(fact, self.history)
+    }
+
+    fn take_repeat(&self) -> bool {
+        let now = self.shared.now();
+        let taken = self.shared.state().take_repeat(now, &self.admitted.service);
+        if taken {
+            self.shared.metrics.repeats.inc();
+        } else {
+            tracing::info!(
+                request = &*self.out.id,
+                service = %self.admitted.service,
+                "no repeat: the budget is used up"
+            );
+        }
+        taken
+    }
+
+    fn hedge<'b>(&mut self) -> Option<Pin<Box<dyn Future<Output = Attempted> + Send + 'b>>>
+    where
+        Self: 'b,
+    {
+        let now = self.shared.now();
+        if self.history.ran + 1 >= self.admitted.route.max_attempts {
+            return None;
+        }
+        let mut state = self.shared.state();
+        let choice = state
+            .choose(now, &self.admitted.service, &self.tried)
+            .ok()?;
+        let worth = choice
+            .candidate
+            .slowness_percent
+            .is_some_and(|percent| percent < 200.0);
+        if !worth || !state.take_repeat(now, &self.admitted.service) {
+            state.cancel(&choice.id);
+            return None;
+        }
+        drop(state);
+        self.hedged = true;
+        self.shared.metrics.hedges.inc();
+        tracing::debug!(request = &*self.out.id, target = %choice.id, "hedged");
+        Some(self.start(choice))
+    }
+
+    fn start<'b>(
+        &mut self,
+        choice: Choice,
+    ) -> Pin<Box<dyn Future<Output = Attempted> + Send + 'b>> {
+        self.tried.push(choice.id.clone());
+        let once = self.admitted.route.repeat == Repeat::Never;
+        let attempt = super::attempt::run(
+            self.shared.clone(),
+            self.out.clone(),
+            choice,
+            once,
+            self.admitted.fingerprint,
+        );
+        Box::pin(attempt)
+    }
+
+    /// Chooses a target, waiting in line while there is no room; otherwise the time
+    /// after which to come back.
+    async fn place(&self) -> Result<Choice, Duration> {
+        let mut ticket = Waiting {
+            call: self,
+            ticket: None,
+        };
+        loop {
+            let room = self.shared.room.notified();
+            match ticket.try_place() {
+                Ok(choice) => return Ok(choice),
+                Err(NoTarget::Full) => ticket.join()?,
+                Err(NoTarget::None | NoTarget::Tried) => return Err(COME_BACK),
+            }
+            tokio::select! {
+                () = room => {}
+                () = tokio::time::sleep(LOOK_AGAIN) => {}
+                () = tokio::time::sleep_until(self.until.into()) => return Err(COME_BACK),
+            }
+        }
+    }
+
+    fn typical(&self) -> Duration {
+        let typical = self.shared.state().typical.of(&self.admitted.route.name);
+        typical.unwrap_or(ASSUMED_TYPICAL)
+    }
+
+    fn deliver(&self, done: Attempted) -> (Outcome, Reply) {
+        let Some(answer) = done.answer else {
+            return (Outcome::Lost, refusal(Outcome::Lost, COME_BACK));
+        };
+        tracing::info!(
+            request = &*self.out.id,
+            route = &*self.admitted.route.name,
+            version = self.admitted.version,
+            service = %self.admitted.service,
+            target = %done.target,
+            status = answer.status,
+            slowness = done.slowness_percent,
+            report_age_ms = done.report_age_ms,
+            attempts = self.tried.len(),
+            hedged = self.hedged,
+            took_ms = millis(self.out.began.elapsed()),
+            "answered"
+        );
+        if done.fact == Fact::TargetFailed && is_promise(answer.status) {
+            return (Outcome::Lost, refusal(Outcome::Lost, COME_BACK));
+        }
+        let outcome = if done.fact == Fact::Answered {
+            Outcome::Answered
+        } else {
+            Outcome::TargetFailed
+        };
+        (outcome, pass_on(answer))
+    }
+
+    fn refuse(&self, wait: Duration) -> (Outcome, Reply) {
+        tracing::info!(
+            request = &*self.out.id,
+            route = &*self.admitted.route.name,
+            service = %self.admitted.service,
+            unsent = self.history.unsent,
+            shed = self.history.shed,
+            come_back_ms = millis(wait),
+            "refused: not run"
+        );
+        (Outcome::Refused, refusal(Outcome::Refused, wait))
+    }
+
+    fn end_without_target(&self, failure: Option<Answer>, wait: Duration) -> (Outcome, Reply) {
+        if self.history.not_run() {
+            return self.refuse(wait);
+        }
+        match failure {
+            Some(answer) if !is_promise(answer.status) => (Outcome::TargetFailed, pass_on(answer)),
+            _ => (Outcome::Lost, refusal(Outcome::Lost, wait)),
+        }
+    }
+
+    /// Ends a request at its deadline; its attempts are cancelled.
+    fn time_out(&self) -> (Outcome, Reply) {
+        tracing::info!(
+            request = &*self.out.id,
+            route = &*self.admitted.route.name,
+            service = %self.admitted.service,
+            targets = ?self.tried,
+            "deadline passed"
+        );
+        (Outcome::TimedOut, refusal(Outcome::TimedOut, COME_BACK))
+    }
+}
+
+/// A request's place in the line; it leaves the line when it is dropped.
+struct Waiting<'a, 'b> {
+    call: &'a Call<'b>,
+    ticket: Option<Ticket>,
+}
+
+impl Waiting<'_, '_> {
+    fn try_place(&self) -> Result<Choice, NoTarget> {
+        let call = self.call;
+        let now = call.shared.now();
+        let mut state = call.shared.state();
+        let service = &call.admitted.service;
+        let priority = call.admitted.route.priority;
+        let may_go = state
+            .waiting
+            .get(service)
+            .is_none_or(|line| line.may_go(self.ticket.as_ref(), priority));
+        if !may_go {
+            return Err(NoTarget::Full);
+        }
+        state.choose(now, service, &call.tried)
+    }
+
+    /// Joins the line, or says when to come back if it is too long.
+    fn join(&mut self) -> Result<(), Duration> {
+        if self.ticket.is_some() {
+            return Ok(());
+        }
+        let call = self.call;
+        let typical = call.typical();
+        let left = call.until.saturating_duration_since(Instant::now());
+        let mut state = call.shared.state();
+        let slots = state.own_slots(&call.admitted.service);
+        let line = state
+            .waiting
+            .entry(call.admitted.service.clone())
+            .or_default();
+        let priority = call.admitted.route.priority;
+        let wait = expected_wait(line.ahead(priority), slots, typical);
+        if wait + typical > left {
+            return Err(wait);
+        }
+        let until = call.shared.now().after(left);
+        self.ticket = Some(line.join(priority, until));
+        tracing::info!(
+            request = &*call.out.id,
+            service = %call.admitted.service,
+            expected_ms = millis(wait),
+            "waits for room"
+        );
+        Ok(())
+    }
+}
+
+impl Drop for Waiting<'_, '_> {
+    fn drop(&mut self) {
+        let Some(ticket) = self.ticket else {
+            return;
+        };
+        let mut state = self.call.shared.state();
+        if let Some(line) = state.waiting.get_mut(&self.call.admitted.service) {
+            line.leave(&ticket);
+        }
+        drop(state);
+        self.call.shared.room.notify_waiters();
+    }
+}
+
+impl Shared {
+    /// Finds the route and service of a request.
+    fn admit(&self, req: &Request) -> Result<Admitted, Outcome> {
+        let now: Time = self.now();
+        let host = req
+            .headers
+            .get(http::header::HOST)
+            .and_then(|host| host.to_str().ok())
+            .unwrap_or_default();
+        let path = req.target.split('?').next().unwrap_or_default();
+        let mut state = self.state();
+        let version = state.standing.version;
+        if version == 0 {
+            return Err(Outcome::NoConfiguration);
+        }
+        let route = state
+            .routes
+            .find(host, path)
+            .cloned()
+            .ok_or(Outcome::NoRoute)?;
+        let fingerprint = super::attempt::fingerprint(host, req);
+        if state.quarantine.verdict(now, fingerprint) == Verdict::Held {
+            return Err(Outcome::Quarantined);
+        }
+        let service = state.deal(&route).ok_or(Outcome::NoRoute)?;
+        state.note_request(now, &service);
+        Ok(Admitted {
+            route,
+            service,
+            fingerprint,
+            version,
+        })
+    }
+}
+
+/// Statuses by which callers know that a request was not run.
+fn is_promise(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
+fn refusal(outcome: Outcome, wait: Duration) -> Reply {
+    let mut reply = Reply::empty(outcome.status());
+    if reply.status == 503 {
+        let wait = wait.clamp(COME_BACK_RANGE.0, COME_BACK_RANGE.1);
+        let text = format!("{:.3}", wait.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&text) {
+            reply.headers.insert(http::header::RETRY_AFTER, value);
+        }
+    }
+    reply
+}
+
+fn pass_on(answer: Answer) -> Reply {
+    let headers: HeaderMap = answer.headers;
+    Reply {
+        status: answer.status,
+        headers,
+        body: answer.body,
+    }
+}
+
+async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/entry/members.rs
@@ -0,0 +1,219 @@
+//! The other entry instances, and which instance looks after which target.
+
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use siphasher::sip::SipHasher13;
+
+use super::message::Beat;
+use crate::names::{TargetId, ZoneName};
+use crate::units::Time;
+
+/// Keys of the rendezvous hash; every instance must use the same.
+const HASH_KEYS: (u64, u64) = (0x656e_7472_795f_686f, 0x6d65_5f6f_665f_7461);
+/// Time between two beats to an instance that is not heard.
+const SILENT_BEAT: Duration = Duration::from_secs(1);
+
+/// What is known of one other instance.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Member {
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// When it was registered or first heard.
+    pub known_since: Time,
+    /// When it was last heard.
+    pub heard_at: Option<Time>,
+    /// When a beat was last sent to it.
+    pub beat_at: Option<Time>,
+    /// Its last beat without reports.
+    pub last: Standing,
+}
+
+/// What an instance says of itself in each beat.
+#[derive(Debug, Clone, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
+pub struct Standing {
+    /// Where its callers connect.
+    pub callers: Option<SocketAddr>,
+    /// Whether it takes callers.
+    pub ready: bool,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// Whether its own watch of the store is up to date.
+    pub watching: bool,
+    /// Revision of its replica.
+    pub revision: u64,
+    /// Version of its configuration; 0 before any.
+    pub version: u64,
+}
+
+/// The other instances by peer address.
+#[derive(Debug, Clone)]
+pub struct Members {
+    own: SocketAddr,
+    silence: Duration,
+    forget: Duration,
+    members: IndexMap<SocketAddr, Member>,
+}
+
+impl Members {
+    /// Knows only this instance.
+    #[must_use]
+    pub fn new(own: SocketAddr, silence: Duration, forget: Duration) -> Self {
+        Self {
+            own,
+            silence,
+            forget,
+            members: IndexMap::new(),
+        }
+    }
+
+    /// Notes an instance that the store, a seed or a peer names.
+    pub fn introduce(&mut self, now: Time, address: SocketAddr, zone: &ZoneName) {
+        if address == self.own {
+            return;
+        }
+        self.members.entry(address).or_insert_with(|| Member {
+            zone: zone.clone(),
+            known_since: now,
+            heard_at: None,
+            beat_at: None,
+            last: Standing::default(),
+        });
+    }
+
+    /// Notes a beat; true when the sender was not live before.
+    pub fn heard(&mut self, now: Time, address: SocketAddr, beat: &Beat) -> bool {
+        if address == self.own {
+            return false;
+        }
+        self.introduce(now, address, &beat.zone);
+        let was_live = self.is_live(now, address);
+        if let Some(member) = self.members.get_mut(&address) {
+            member.zone = beat.zone.clone();
+            member.heard_at = Some(now);
+            member.last = beat.standing.clone();
+        }
+        !was_live
+    }
+
+    /// Forgets instances that have been silent for long and that the store doesn't name.
+    pub fn forget_silent(&mut self, now: Time, is_registered: impl Fn(&SocketAddr) -> bool) {
+        let forget = self.forget;
+        self.members.retain(|address, member| {
+            let since = member.heard_at.unwrap_or(member.known_since);
+            is_registered(address) || now.since(since) < forget
+        });
+    }
+
+    /// Whether an instance was heard lately.
+    #[must_use]
+    pub fn is_live(&self, now: Time, address: SocketAddr) -> bool {
+        self.members
+            .get(&address)
+            .is_some_and(|member| self.is_heard(now, member))
+    }
+
+    /// The instances heard lately.
+    pub fn live(&self, now: Time) -> impl Iterator<Item = (SocketAddr, &Member)> {
+        self.members
+            .iter()
+            .filter(move |(_, member)| self.is_heard(now, member))
+            .map(|(address, member)| (*address, member))
+    }
+
+    /// Every known instance, this one left out.
+    pub fn known(&self) -> impl Iterator<Item = (SocketAddr, &Member)> {
+        self.members
+            .iter()
+            .map(|(address, member)| (*address, member))
+    }
+
+    /// The instances that are due a beat, which is noted as sent.
+    pub fn beat_targets(&mut self, now: Time) -> Vec<SocketAddr> {
+        let silence = self.silence;
+        self.members
+            .iter_mut()
+            .filter_map(|(address, member)| {
+                let live = member
+                    .heard_at
+                    .is_some_and(|heard| now.since(heard) < silence);
+                let due = live
+                    || member
+                        .beat_at
+                        .is_none_or(|beat| now.since(beat) >= SILENT_BEAT);
+                due.then(|| {
+                    member.beat_at = Some(now);
+                    *address
+                })
+            })
+            .collect()
+    }
+
+    /// Whether this instance is the one that probes a target, as far as it knows.
+    #[must_use]
+    pub fn is_home(&self, now: Time, target: &TargetId) -> bool {
+        let own = weight(self.own, target);
+        self.live(now)
+            .filter(|(_, member)| !member.last.leaving)
+            .all(|(address, _)| weight(address, target) < own)
+    }
+
+    /// This instance's rank for a target among all known instances, live or not, so
+    /// that a cut does not give instances on both sides the same rank.
+    #[must_use]
+    pub fn rank(&self, target: &TargetId) -> usize {
+        let own = weight(self.own, target);
+        self.members
+            .keys()
+            .filter(|address| weight(**address, target) > own)
+            .count()
+    }
+
+    /// Live instances that watch the store and come before this one in the order of
+    /// watchers.
+    #[must_use]
+    pub fn watchers_ahead(&self, now: Time) -> usize {
+        let own = watch_weight(self.own);
+        self.live(now)
+            .filter(|(_, member)| member.last.watching && !member.last.leaving)
+            .filter(|(address, _)| watch_weight(*address) > own)
+            .count()
+    }
+
+    /// Whether any live instance watches the store.
+    #[must_use]
+    pub fn anyone_watches(&self, now: Time) -> bool {
+        self.live(now).any(|(_, member)| member.last.watching)
+    }
+
+    fn is_heard(&self, now: Time, member: &Member) -> bool {
+        member
+            .heard_at
+            .is_some_and(|heard| now.since(heard) < self.silence)
+    }
+}
+
+fn weight(instance: SocketAddr, target: &TargetId) -> u64 {
+    hash(&(instance, target.as_str()))
+}
+
+fn watch_weight(instance: SocketAddr) -> u64 {
+    hash(&(instance, "watch"))
+}
+
+fn hash(value: &impl Hash) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(HASH_KEYS.0, HASH_KEYS.1);
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// A short name of one run of a target, for datagrams.
+#[must_use]
+pub fn target_key(id: &TargetId, started_ms: u64) -> u64 {
+    hash(&(id.as_str(), started_ms))
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/entry/metrics.rs
@@ -0,0 +1,101 @@
+//! Counters and latencies of an entry instance, in the Prometheus text form.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the latency buckets, in seconds; around the usual objectives.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 2.0, 5.0,
+];
+
+/// The metrics of one instance.
+#[derive(Debug)]
+pub(crate) struct EntryMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    request_seconds: Histogram,
+    target_seconds: Histogram,
+    dropped_lines: IntGauge,
+    /// Attempts beyond the first.
+    pub repeats: IntCounter,
+    /// Attempts sent beside a slow first one.
+    pub hedges: IntCounter,
+    /// Connections opened to targets.
+    pub connects: IntCounter,
+    /// Health checks.
+    pub probes: IntCounter,
+    /// Calls to the platform's store, by kind.
+    pub store_calls: Arc<IntCounterVec>,
+}
+
+impl EntryMetrics {
+    /// Builds and registers the metrics.
+    ///
+    /// # Errors
+    /// A name is not valid or stands twice.
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| -> Result<IntCounter, prometheus::Error> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let by_label = |name: &str, help: &str, label: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok::<_, prometheus::Error>(counters)
+        };
+        let latency = |name: &str, help: &str| {
+            let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+            let histogram = Histogram::with_opts(opts)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok::<_, prometheus::Error>(histogram)
+        };
+        let dropped_lines = IntGauge::new("entry_log_dropped", "Log lines dropped so far.")?;
+        registry.register(Box::new(dropped_lines.clone()))?;
+        Ok(Self {
+            dropped_lines,
+            requests: by_label("entry_requests_total", "Requests by outcome.", "outcome")?,
+            request_seconds: latency("entry_request_seconds", "Time of requests.")?,
+            target_seconds: latency("entry_target_seconds", "Time of answered attempts.")?,
+            repeats: counter("entry_repeats_total", "Attempts beyond the first.")?,
+            hedges: counter("entry_hedges_total", "Attempts beside a slow first one.")?,
+            connects: counter("entry_connects_total", "Connections opened to targets.")?,
+            probes: counter("entry_probes_total", "Health checks of targets.")?,
+            store_calls: Arc::new(by_label(
+                "entry_store_calls_total",
+                "Calls to the store by kind.",
+                "kind",
+            )?),
+            registry,
+        })
+    }
+
+    /// Notes a request's end.
+    pub(crate) fn request(&self, outcome: &str, took: Duration) {
+        self.requests.with_label_values(&[outcome]).inc();
+        self.request_seconds.observe(took.as_secs_f64());
+    }
+
+    /// Notes an answered attempt.
+    pub(crate) fn target(&self, took: Duration) {
+        self.target_seconds.observe(took.as_secs_f64());
+    }
+
+    /// The text form.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut buf = Vec::new();
+        let dropped = crate::observe::lines::dropped();
+        self.dropped_lines
+            .set(i64::try_from(dropped).unwrap_or(i64::MAX));
+        if let Err(err) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+            tracing::warn!(%err, "the metrics can't be written");
+        }
+        buf
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,35 @@
+//! An entry instance on a prepared platform.
+//!
+//! Every instance keeps its own view of all targets and decides alone; what it
+//! hears from peers makes the view fresher and is never needed for an answer. Bounds
+//! over all instances are split so that each keeps its part without a message.
+//! See `docs/design/prepared-platform.md`.
+
+mod attempt;
+mod control;
+pub(crate) mod directory;
+pub(crate) mod fleet;
+mod forward;
+pub(crate) mod load;
+pub(crate) mod members;
+pub(crate) mod message;
+mod metrics;
+pub(crate) mod model;
+mod peers;
+pub(crate) mod placement;
+mod pool;
+mod probe;
+mod reload;
+pub(crate) mod replica;
+pub(crate) mod routes;
+mod run;
+pub(crate) mod settings;
+mod shared;
+mod state;
+mod sync;
+pub(crate) mod typical;
+pub(crate) mod verdict;
+pub(crate) mod waiting;
+pub(crate) mod window;
+
+pub(crate) use run::run;
--- /dev/null
+++ b/src/entry/peers.rs
@@ -0,0 +1,194 @@
+//! Datagrams and questions between entry instances.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+
+use super::message::{self, Beat, MAX_DATAGRAM, MAX_FRAME, Question, Reply};
+use super::replica::Delta;
+use super::shared::Shared;
+use crate::units::Time;
+
+/// Time for a question to a peer, its answer included.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time by which the own watch or a peer in the own zone may be later than others,
+/// before a peer in another zone is asked: bytes between zones are dear.
+const PATIENCE: Duration = Duration::from_millis(150);
+
+/// Sends a beat to every peer once a tick, until the process ends.
+pub(crate) async fn send_beats(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let beat = shared.state().tuning.beat;
+    let mut tick = tokio::time::interval(beat);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tick.tick().await;
+        send_beat(&shared, &socket);
+        let now = shared.now();
+        let gone = {
+            let mut state = shared.state();
+            state.note_watching(now);
+            state.forget(now)
+        };
+        for id in gone {
+            tracing::info!(target_id = %id, "target forgotten");
+            shared.pool.forget(&id);
+        }
+        shared.pool.expire(now);
+    }
+}
+
+/// Sends a beat to every peer that is due one.
+pub(crate) fn send_beat(shared: &Shared, socket: &UdpSocket) {
+    let now = shared.now();
+    let (beat, peers) = {
+        let mut state = shared.state();
+        let peers = state.members.beat_targets(now);
+        (state.beat(now), peers)
+    };
+    let bytes = match message::encode(&beat) {
+        Ok(bytes) => bytes,
+        Err(err) => {
+            tracing::warn!(%err, "a beat can't be encoded");
+            return;
+        }
+    };
+    for peer in peers {
+        // A full socket or an unreachable peer costs this one beat.
+        if let Err(err) = socket.try_send_to(&bytes, peer) {
+            tracing::debug!(%peer, %err, "beat not sent");
+        }
+    }
+}
+
+/// Takes in beats, until the process ends.
+pub(crate) async fn receive_beats(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut buf = vec![0; MAX_DATAGRAM * 2];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(err) => {
+                tracing::debug!(%err, "no datagram");
+                continue;
+            }
+        };
+        match message::decode::<Beat>(&buf[..length]) {
+            Ok(beat) => {
+                let now = shared.now();
+                shared.state().heard(now, from, &beat);
+            }
+            Err(err) => tracing::debug!(%from, %err, "not a beat"),
+        }
+    }
+}
+
+/// Answers peers' questions, until the process ends.
+pub(crate) async fn answer_questions(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        let Ok((stream, peer)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let answering = tokio::time::timeout(QUESTION_TIMEOUT, answer(&shared, stream));
+            if !matches!(answering.await, Ok(Ok(()))) {
+                tracing::debug!(%peer, "a peer's question was not answered");
+            }
+        });
+    }
+}
+
+async fn answer(shared: &Shared, mut stream: TcpStream) -> std::io::Result<()> {
+    let bytes = read_frame(&mut stream).await?;
+    let Question::Changes(revision) = message::decode(&bytes).map_err(std::io::Error::other)?;
+    let delta = shared.state().replica.since(revision);
+    write_frame(&mut stream, &Reply::Changes(delta)).await?;
+    stream.shutdown().await
+}
+
+/// Follows peers that have newer changes, until the process ends.
+pub(crate) async fn follow(shared: Arc<Shared>) {
+    let beat = shared.state().tuning.beat;
+    let mut behind_since: Option<Time> = None;
+    let mut failed: Vec<SocketAddr> = Vec::new();
+    loop {
+        tokio::time::sleep(beat / 2).await;
+        let now = shared.now();
+        let Some((peer, near)) = ahead(&shared, now, &failed) else {
+            behind_since = None;
+            failed.clear();
+            continue;
+        };
+        let waited = now.since(*behind_since.get_or_insert(now));
+        if waited < PATIENCE && !(near && waited >= beat / 2 && !shared.state().standing.watching) {
+            continue;
+        }
+        let revision = shared.state().replica.revision();
+        match ask(peer, revision).await {
+            Ok(delta) => {
+                let now = shared.now();
+                shared.state().apply(now, delta, "peer");
+                shared.room.notify_waiters();
+                failed.clear();
+            }
+            Err(err) => {
+                tracing::info!(%peer, %err, "a peer with newer changes gave none");
+                failed.push(peer);
+            }
+        }
+    }
+}
+
+/// A live peer with newer changes, best one in the own zone, and whether it is.
+fn ahead(shared: &Shared, now: Time, failed: &[SocketAddr]) -> Option<(SocketAddr, bool)> {
+    let state = shared.state();
+    let own = state.replica.content();
+    let zone = &state.settings.zone;
+    state
+        .members
+        .live(now)
+        .filter(|(_, member)| member.last.revision > own)
+        .max_by_key(|(address, member)| {
+            let near = member.zone == *zone;
+            (!failed.contains(address), near, member.last.revision)
+        })
+        .map(|(address, member)| (address, member.zone == *zone))
+}
+
+/// Asks a peer for what changed after `revision`.
+pub(crate) async fn ask(peer: SocketAddr, revision: u64) -> std::io::Result<Delta> {
+    let asking = async {
+        let mut stream = TcpStream::connect(peer).await?;
+        write_frame(&mut stream, &Question::Changes(revision)).await?;
+        let bytes = read_frame(&mut stream).await?;
+        let Reply::Changes(delta) = message::decode(&bytes).map_err(std::io::Error::other)?;
+        Ok(delta)
+    };
+    tokio::time::timeout(QUESTION_TIMEOUT, asking)
+        .await
+        .map_err(|_| std::io::Error::other("timed out"))?
+}
+
+async fn write_frame<T: serde::Serialize>(
+    stream: &mut TcpStream,
+    message: &T,
+) -> std::io::Result<()> {
+    let bytes = message::encode(message).map_err(std::io::Error::other)?;
+    let length = u32::try_from(bytes.len()).map_err(std::io::Error::other)?;
+    let mut frame = length.to_be_bytes().to_vec();
+    frame.extend_from_slice(&bytes);
+    stream.write_all(&frame).await
+}
+
+async fn read_frame(stream: &mut TcpStream) -> std::io::Result<Vec<u8>> {
+    let length = usize::try_from(stream.read_u32().await?).map_err(std::io::Error::other)?;
+    if length > MAX_FRAME {
+        return Err(std::io::Error::other("a frame that is too long"));
+    }
+    let mut bytes = vec![0; length];
+    stream.read_exact(&mut bytes).await?;
+    Ok(bytes)
+}
--- /dev/null
+++ b/src/entry/reload.rs
@@ -0,0 +1,78 @@
+//! Takes in changed settings while the instance runs.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::settings::EntrySettings;
+use super::shared::Shared;
+use crate::platform::prepared::settings;
+
+/// Time between two looks at the file; it may change without a signal.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// Rereads the settings on SIGHUP and whenever the file differs.
+pub(crate) async fn run(shared: Arc<Shared>, path: PathBuf) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(err) => {
+            tracing::warn!(%err, "SIGHUP can't be taken; settings are not reread");
+            return;
+        }
+    };
+    let mut last = std::fs::read_to_string(&path).unwrap_or_default();
+    loop {
+        let by_signal = tokio::select! {
+            signal = hangup.recv() => signal.is_some(),
+            () = tokio::time::sleep(LOOK) => false,
+        };
+        let text = match std::fs::read_to_string(&path) {
+            Ok(text) => text,
+            Err(err) => {
+                tracing::warn!(%err, "the settings can't be read; the former ones hold");
+                continue;
+            }
+        };
+        if text != last || by_signal {
+            reload(&shared, &text, by_signal);
+            last = text;
+        }
+    }
+}
+
+fn reload(shared: &Shared, text: &str, by_signal: bool) {
+    match settings::parse(text) {
+        Ok(new) => {
+            let mut state = shared.state();
+            let needs_restart = needs_restart(&state.settings, &new);
+            state.settings = Arc::new(new);
+            tracing::info!(by_signal, needs_restart, "settings reread");
+        }
+        Err(problems) => {
+            tracing::warn!(
+                by_signal,
+                ?problems,
+                "settings not taken; the former ones hold"
+            );
+        }
+    }
+}
+
+/// Whether new settings change what is only read at the start.
+fn needs_restart(old: &EntrySettings, new: &EntrySettings) -> bool {
+    (
+        old.callers,
+        old.readiness,
+        old.directory,
+        old.peers,
+        old.store,
+    ) != (
+        new.callers,
+        new.readiness,
+        new.directory,
+        new.peers,
+        new.store,
+    )
+}
--- /dev/null
+++ b/src/entry/replica.rs
@@ -0,0 +1,193 @@
+//! This instance's copy of what the platform's store holds.
+//!
+//! Changes come from the store's watch or from peers, in any order and more than
+//! once; a key keeps the record of its highest revision. A configuration is never
+//! replaced by an older one.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::model::{Change, Configuration, Record};
+use crate::macros::data;
+
+/// Removals that are remembered for peers; some minutes of targets coming and going.
+const REMEMBERED_REMOVALS: usize = 512;
+
+data! {
+    /// What a peer needs to come to a revision.
+    pub struct Delta {
+        /// Revision that the receiver has afterwards.
+        pub revision: u64,
+        /// Whether `changes` is everything, so that other keys are gone.
+        pub complete: bool,
+        /// Records and removals.
+        pub changes: Vec<Change>,
+    }
+}
+
+/// What a change did.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Applied {
+    /// A configuration came into force.
+    Configuration(Arc<Configuration>),
+    /// A record was added or replaced.
+    Put(Arc<str>, Record),
+    /// A record is gone.
+    Removed(Arc<str>, Record),
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    revision: u64,
+    record: Record,
+}
+
+/// The copy.
+#[derive(Debug, Clone, Default)]
+pub struct Replica {
+    revision: u64,
+    content: u64,
+    entries: IndexMap<Arc<str>, Entry>,
+    removals: VecDeque<(u64, Arc<str>)>,
+    /// Removals up to this revision may have been forgotten.
+    removals_from: u64,
+    configuration: Option<Arc<Configuration>>,
+}
+
+impl Replica {
+    /// Revision of the store up to which this copy is whole; 0 before the first read.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Revision of the newest change in this copy; unlike [`Self::revision`] it does
+    /// not move when the store changes what this copy leaves out.
+    #[must_use]
+    pub fn content(&self) -> u64 {
+        self.content
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.configuration.as_ref()
+    }
+
+    /// Takes in changes up to `delta.revision` and returns what they did.
+    pub fn apply(&mut self, delta: Delta) -> Vec<Applied> {
+        let mut applied = Vec::new();
+        if delta.complete {
+            self.remove_missing(&delta, &mut applied);
+        }
+        for change in delta.changes {
+            self.content = self.content.max(change.revision);
+            applied.extend(self.apply_one(change));
+        }
+        self.revision = self.revision.max(delta.revision);
+        applied
+    }
+
+    /// What a peer at `revision` misses.
+    #[must_use]
+    pub fn since(&self, revision: u64) -> Delta {
+        let complete = revision == 0 || revision < self.removals_from;
+        let from = if complete { 0 } else { revision };
+        let records = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.revision > from);
+        let mut changes: Vec<Change> = records
+            .map(|(key, entry)| Change {
+                key: key.clone(),
+                revision: entry.revision,
+                record: Some(entry.record.clone()),
+            })
+            .collect();
+        let removals = self.removals.iter().filter(|(at, _)| *at > from);
+        changes.extend(removals.map(|(at, key)| Change {
+            key: key.clone(),
+            revision: *at,
+            record: None,
+        }));
+        Delta {
+            revision: self.revision,
+            complete,
+            changes,
+        }
+    }
+
+    fn remove_missing(&mut self, delta: &Delta, applied: &mut Vec<Applied>) {
+        let present: std::collections::HashSet<&str> =
+            delta.changes.iter().map(|change| &*change.key).collect();
+        let missing: Vec<Arc<str>> = self
+            .entries
+            .iter()
+            .filter(|(key, entry)| entry.revision <= delta.revision && !present.contains(&***key))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in missing {
+            applied.extend(self.remove(key, delta.revision));
+        }
+    }
+
+    fn apply_one(&mut self, change: Change) -> Option<Applied> {
+        if self
+            .entries
+            .get(&change.key)
+            .is_some_and(|entry| entry.revision >= change.revision)
+        {
+            return None;
+        }
+        let already_removed = self
+            .removals
+            .iter()
+            .any(|(at, key)| *key == change.key && *at >= change.revision);
+        if already_removed {
+            return None;
+        }
+        let Some(record) = change.record else {
+            return self.remove(change.key, change.revision);
+        };
+        let entry = Entry {
+            revision: change.revision,
+            record: record.clone(),
+        };
+        let before = self.entries.insert(change.key.clone(), entry);
+        if let Record::Configuration(configuration) = record {
+            return self.take_configuration(configuration);
+        }
+        (before.as_ref().map(|entry| &entry.record) != Some(&record))
+            .then_some(Applied::Put(change.key, record))
+    }
+
+    fn take_configuration(&mut self, configuration: Arc<Configuration>) -> Option<Applied> {
+        let newer = self
+            .configuration
+            .as_ref()
+            .is_none_or(|present| present.version < configuration.version);
+        newer.then(|| {
+            self.configuration = Some(configuration.clone());
+            Applied::Configuration(configuration)
+        })
+    }
+
+    fn remove(&mut self, key: Arc<str>, revision: u64) -> Option<Applied> {
+        self.removals.push_back((revision, key.clone()));
+        while self.removals.len() > REMEMBERED_REMOVALS {
+            if let Some((at, _)) = self.removals.pop_front() {
+                self.removals_from = self.removals_from.max(at);
+            }
+        }
+        let entry = self.entries.swap_remove(&key)?;
+        match entry.record {
+            Record::Configuration(_) => None,
+            record => Some(Applied::Removed(key, record)),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/entry/routes.rs
@@ -0,0 +1,85 @@
+//! Finds the route of a request, and the service that takes it.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::model::{Configuration, Part, Route};
+
+/// The fractional part of the golden ratio: its multiples spread evenly over the
+/// unit interval, so that shares hold over short spans too.
+const GOLDEN: f64 = 0.618_033_988_749_894_8;
+
+/// The routes of a configuration, by host.
+#[derive(Debug, Clone, Default)]
+pub struct RouteTable {
+    hosts: IndexMap<Arc<str>, Vec<Arc<Route>>>,
+}
+
+impl RouteTable {
+    /// Builds the table; the longest prefix of a host comes first.
+    #[must_use]
+    pub fn new(configuration: &Configuration) -> Self {
+        let mut hosts: IndexMap<Arc<str>, Vec<Arc<Route>>> = IndexMap::new();
+        for route in &configuration.routes {
+            let routes = hosts.entry(lower_case(&route.host)).or_default();
+            routes.push(Arc::new(route.clone()));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Self { hosts }
+    }
+
+    /// The route with the longest prefix of `path`, for a `Host` header.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        self.hosts
+            .get(&*lower_case(name))?
+            .iter()
+            .find(|route| path.starts_with(&*route.prefix))
+    }
+}
+
+fn lower_case(host: &str) -> Arc<str> {
+    if host.bytes().any(|b| b.is_ascii_uppercase()) {
+        host.to_ascii_lowercase().into()
+    } else {
+        host.into()
+    }
+}
+
+/// Deals a route's requests out to its parts by weight.
+///
+/// Load pattern: a few hundred requests a second over many instances, each of which
+/// must keep the weights on its own.
+#[derive(Debug, Clone, Copy)]
+pub struct Dealer {
+    phase: f64,
+}
+
+impl Dealer {
+    /// Starts at a phase in `0.0..1.0`, drawn at random so that instances differ.
+    #[must_use]
+    pub fn new(phase: f64) -> Self {
+        Self { phase }
+    }
+
+    /// The part that takes the next request.
+    pub fn next<'a>(&mut self, parts: &'a [Part]) -> Option<&'a Part> {
+        self.phase = (self.phase + GOLDEN).fract();
+        let total: f64 = parts.iter().map(|part| part.weight).sum();
+        let mut point = self.phase * total;
+        for part in parts {
+            if point < part.weight {
+                return Some(part);
+            }
+            point -= part.weight;
+        }
+        parts.last()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/entry/state.rs
@@ -0,0 +1,515 @@
+//! The shared tables of an entry instance, and the decisions over them.
+//!
+//! One lock guards all of it; it is never held over I/O, and no other lock is taken
+//! while it is held.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rand::Rng;
+
+use super::directory::{self, Entry};
+use super::fleet::{Fleet, Unusable, View};
+use super::members::{Members, Standing};
+use super::message::{Beat, Finding, Health, MAX_CASES, MAX_NAMED, MAX_REPORTS};
+use super::model::{CallerBounds, Record, Route};
+use super::placement::{self, Candidate};
+use super::replica::{Applied, Delta, Replica};
+use super::routes::{Dealer, RouteTable};
+use super::settings::{EntrySettings, Tuning};
+use super::typical::Typical;
+use super::waiting::Line;
+use super::window::{RepeatBudget, RepeatRule, cold_allowance};
+use crate::dispatch::quarantine::{Quarantine, QuarantineSettings};
+use crate::names::{ServiceName, TargetId};
+use crate::units::Time;
+
+/// Instances among which a window's slack is divided beyond those known, for
+/// instances that join or start again within the window.
+const SPARE_INSTANCES: f64 = 2.0;
+/// Part of a target's connections that all instances together use.
+const CONNECTION_PART: f64 = 0.8;
+/// Connections to a target that an instance has at least.
+const MIN_CONNECTIONS: usize = 2;
+/// Deaths of targets after which a request is held back. A request may be beside
+/// another's crash twice by chance, three times hardly.
+const CRASH_DEATHS: u32 = 3;
+/// Time after a start in which other instances are not known yet; nothing is sent to
+/// cold targets then.
+const LEARN_MEMBERS: Duration = Duration::from_millis(1200);
+/// Time without any watching instance that counts as an outage of the store.
+const OUTAGE_AFTER: Duration = Duration::from_millis(800);
+/// Time after an outage in which removals may be lapses.
+const OUTAGE_ECHO: Duration = Duration::from_secs(3);
+
+/// Everything that the instance believes.
+#[derive(Debug)]
+pub(crate) struct State {
+    /// Its settings.
+    pub settings: Arc<EntrySettings>,
+    /// Its tuning.
+    pub tuning: Tuning,
+    /// Its copy of the store.
+    pub replica: Replica,
+    /// The routes in force.
+    pub routes: RouteTable,
+    /// The targets.
+    pub fleet: Fleet,
+    /// The other instances.
+    pub members: Members,
+    /// Requests that crash targets.
+    pub quarantine: Quarantine,
+    /// Usual times of routes.
+    pub typical: Typical,
+    /// What it says of itself.
+    pub standing: Standing,
+    /// Findings to tell peers with the next beat.
+    pub findings: Vec<(Time, Finding)>,
+    budgets: IndexMap<ServiceName, RepeatBudget>,
+    dealers: IndexMap<Arc<str>, Dealer>,
+    /// Requests that wait for room, by service.
+    pub waiting: IndexMap<ServiceName, Line>,
+    registered: IndexMap<Arc<str>, SocketAddr>,
+    named: usize,
+    started: Time,
+    watched_at: Time,
+    outage_until: Time,
+}
+
+/// A target that was chosen, with what the choice rested on.
+#[derive(Debug, Clone)]
+pub(crate) struct Choice {
+    /// The target.
+    pub id: TargetId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its view at the time.
+    pub candidate: Candidate,
+    /// Age of its report.
+    pub report_age: Option<Duration>,
+}
+
+/// Why no target was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub(crate) enum NoTarget {
+    /// The service has no target that may be used at all.
+    #[display("no usable target")]
+    None,
+    /// Every usable target is full, cold or out of connections.
+    #[display("every target is full")]
+    Full,
+    /// Every target left was tried already.
+    #[display("every target was tried")]
+    Tried,
+}
+
+impl State {
+    pub(crate) fn new(settings: EntrySettings, tuning: Tuning, now: Time) -> Self {
+        let mut members = Members::new(settings.peers, tuning.peer_silence, tuning.peer_forget);
+        for seed in &settings.seeds {
+            let address = SocketAddr::new(*seed, settings.peers.port());
+            members.introduce(now, address, &settings.zone);
+        }
+        let quarantine = Quarantine::new(QuarantineSettings {
+            deaths: CRASH_DEATHS,
+            ..QuarantineSettings::default()
+        });
+        Self {
+            standing: Standing {
+                callers: Some(settings.callers),
+                ..Standing::default()
+            },
+            settings: Arc::new(settings),
+            tuning,
+            replica: Replica::default(),
+            routes: RouteTable::default(),
+            fleet: Fleet::default(),
+            members,
+            quarantine,
+            typical: Typical::default(),
+            findings: Vec::new(),
+            budgets: IndexMap::new(),
+            dealers: IndexMap::new(),
+            waiting: IndexMap::new(),
+            registered: IndexMap::new(),
+            named: 0,
+            started: now,
+            watched_at: now,
+            outage_until: Time::ZERO,
+        }
+    }
+
+    /// Bounds on callers in force.
+    pub(crate) fn bounds(&self) -> CallerBounds {
+        self.replica
+            .configuration()
+            .map_or_else(CallerBounds::default, |configuration| configuration.bounds)
+    }
+
+    /// Takes in changes of the store; returns whether anything changed.
+    pub(crate) fn apply(&mut self, now: Time, delta: Delta, source: &str) -> bool {
+        let applied = self.replica.apply(delta);
+        let lapsed = now < self.outage_until;
+        for change in &applied {
+            log_change(change, self.replica.revision(), source, lapsed);
+            self.apply_one(now, change, lapsed);
+        }
+        self.standing.revision = self.replica.content();
+        !applied.is_empty()
+    }
+
+    fn apply_one(&mut self, now: Time, change: &Applied, lapsed: bool) {
+        match change {
+            Applied::Configuration(configuration) => {
+                self.routes = RouteTable::new(configuration);
+                self.standing.version = configuration.version;
+                self.standing.ready |= !self.standing.leaving;
+            }
+            Applied::Put(key, record) => match record {
+                Record::Target(target) => self.fleet.put(now, target.clone()),
+                Record::Evacuation(zone) => self.fleet.evacuate(zone.clone(), true),
+                Record::Instance(instance) => {
+                    self.registered.insert(key.clone(), instance.address);
+                    self.members
+                        .introduce(now, instance.address, &instance.zone);
+                }
+                Record::Configuration(_) => {}
+            },
+            Applied::Removed(key, record) => match record {
+                Record::Target(target) => self.fleet.remove(now, &target.id, lapsed),
+                Record::Evacuation(zone) => self.fleet.evacuate(zone.clone(), false),
+                Record::Instance(_) => {
+                    self.registered.swap_remove(key);
+                }
+                Record::Configuration(_) => {}
+            },
+        }
+    }
+
+    /// Notes whether anyone watches the store, to tell lapses from departures.
+    pub(crate) fn note_watching(&mut self, now: Time) {
+        let watched = self.standing.watching || self.members.anyone_watches(now);
+        if !watched && now.since(self.watched_at) > OUTAGE_AFTER {
+            self.outage_until = now.after(OUTAGE_ECHO);
+        }
+        if watched {
+            self.watched_at = now;
+        }
+    }
+
+    /// The service that takes a route's next request.
+    pub(crate) fn deal(&mut self, route: &Route) -> Option<ServiceName> {
+        let dealer = self
+            .dealers
+            .entry(route.name.clone())
+            .or_insert_with(|| Dealer::new(rand::rng().random()));
+        Some(dealer.next(&route.parts)?.service.clone())
+    }
+
+    /// Notes a caller's request to a service.
+    pub(crate) fn note_request(&mut self, now: Time, service: &ServiceName) {
+        self.budgets
+            .entry(service.clone())
+            .or_default()
+            .request(now);
+    }
+
+    /// Takes a repeat from the budget of a service.
+    pub(crate) fn take_repeat(&mut self, now: Time, service: &ServiceName) -> bool {
+        let rule = self.repeat_rule();
+        let budget = self.budgets.entry(service.clone()).or_default();
+        budget.take(now, rule)
+    }
+
+    fn repeat_rule(&self) -> RepeatRule {
+        RepeatRule {
+            ratio: self.settings.repeat_ratio,
+            window: self.settings.repeat_window,
+            slack: (self.settings.repeat_slack / (self.instances() * SPARE_INSTANCES)).floor(),
+        }
+    }
+
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "some thousand instances at most"
+    )]
+    fn instances(&self) -> f64 {
+        (self.members.known().count() + 1) as f64
+    }
+
+    /// Chooses a target of a service that is not in `tried`, and counts the request
+    /// as in flight there.
+    pub(crate) fn choose(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        tried: &[TargetId],
+    ) -> Result<Choice, NoTarget> {
+        let max_connections = self.max_connections(service);
+        let cold_bound = self.cold_bound(service);
+        let knows_members = now.since(self.started) >= LEARN_MEMBERS;
+        let members = &self.members;
+        let allowance = |view: &View| {
+            if knows_members {
+                cold_allowance(cold_bound, members.rank(&view.target.id))
+            } else {
+                0
+            }
+        };
+        let own_zone = &self.settings.zone;
+        let mut ids = Vec::new();
+        let mut candidates = Vec::new();
+        let mut down = Vec::new();
+        let (mut full, mut used) = (false, false);
+        let (views, evacuated) = self.fleet.of_service(service);
+        for view in views {
+            match view.unusable(now, evacuated, allowance) {
+                Some(Unusable::Leaving | Unusable::Evacuated) => continue,
+                Some(Unusable::Cold) => {
+                    full = true;
+                    continue;
+                }
+                _ if tried.contains(&view.target.id) => {
+                    used = true;
+                    continue;
+                }
+                _ if view.is_out_of_connections(max_connections) => {
+                    full = true;
+                    continue;
+                }
+                Some(Unusable::Down) => down.push(view.target.id.clone()),
+                None => {
+                    ids.push(view.target.id.clone());
+                    candidates.push(view.candidate(now, own_zone));
+                }
+            }
+        }
+        let draw = rand::rng().random();
+        let chosen = placement::choose(&candidates, &self.tuning.placement, draw);
+        let id = match chosen {
+            Some(index) => ids.swap_remove(index),
+            None if !candidates.is_empty() || full => return Err(NoTarget::Full),
+            // Nothing else is left: one that seemed down may be back.
+            None if !down.is_empty() => {
+                let index = rand::rng().random_range(0..down.len());
+                down.swap_remove(index)
+            }
+            None if used => return Err(NoTarget::Tried),
+            None => return Err(NoTarget::None),
+        };
+        self.begin(now, &id).ok_or(NoTarget::None)
+    }
+
+    fn begin(&mut self, now: Time, id: &TargetId) -> Option<Choice> {
+        let own_zone = self.settings.zone.clone();
+        let view = self.fleet.get_mut(id)?;
+        let choice = Choice {
+            id: id.clone(),
+            address: view.target.address,
+            candidate: view.candidate(now, &own_zone),
+            report_age: view.report.map(|report| now.since(report.at)),
+        };
+        view.in_flight += 1;
+        if view.is_cold(now) {
+            view.note_cold_send(now);
+        }
+        Some(choice)
+    }
+
+    /// Notes that a request to a target ended or was never sent.
+    pub(crate) fn cancel(&mut self, id: &TargetId) {
+        if let Some(view) = self.fleet.get_mut(id) {
+            view.in_flight = view.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// This instance's even part of the slots of a service.
+    pub(crate) fn own_slots(&mut self, service: &ServiceName) -> f64 {
+        let (views, _) = self.fleet.of_service(service);
+        let slots: f64 = views.map(|view| f64::from(view.target.slots)).sum();
+        slots / self.instances()
+    }
+
+    fn max_connections(&self, service: &ServiceName) -> usize {
+        let stated = self
+            .replica
+            .configuration()
+            .and_then(|configuration| configuration.services.get(service))
+            .map_or(u32::MAX, |rules| rules.max_connections);
+        let part = (f64::from(stated) * CONNECTION_PART / self.instances()).floor();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a part of a u32"
+        )]
+        let part = part as usize;
+        part.max(MIN_CONNECTIONS)
+    }
+
+    fn cold_bound(&self, service: &ServiceName) -> f64 {
+        let rate = self
+            .replica
+            .configuration()
+            .and_then(|configuration| configuration.services.get(service))
+            .map_or(f64::INFINITY, |rules| rules.cold_rate);
+        rate * self.settings.cold_factor + self.settings.cold_slack
+    }
+
+    /// Targets that this instance probes, with the path and when they were last probed.
+    pub(crate) fn own_targets(&self, now: Time) -> Vec<(TargetId, SocketAddr, Arc<str>)> {
+        let Some(configuration) = self.replica.configuration() else {
+            return Vec::new();
+        };
+        self.fleet
+            .views()
+            .filter(|view| !view.is_leaving() && self.members.is_home(now, &view.target.id))
+            .filter_map(|view| {
+                let rules = configuration.services.get(&view.target.service)?;
+                Some((
+                    view.target.id.clone(),
+                    view.target.address,
+                    rules.health_path.clone(),
+                ))
+            })
+            .collect()
+    }
+
+    /// Notes what a probe of this instance found, for itself and its peers.
+    pub(crate) fn note_probe(&mut self, now: Time, finding: Finding) {
+        self.fleet.note_finding(now, &finding);
+        self.note_if_dead(now, &finding);
+        self.findings.push((now, finding));
+    }
+
+    /// Charges the death of a target that can't be reached to the requests that broke
+    /// off there.
+    fn note_if_dead(&mut self, now: Time, finding: &Finding) {
+        if finding.health != Health::Unreachable {
+            return;
+        }
+        let Some(address) = self.fleet.address_of(finding.target) else {
+            return;
+        };
+        for case in self.quarantine.died(now, address) {
+            tracing::warn!(
+                request = %case.fingerprint,
+                deaths = case.deaths,
+                target_address = %address,
+                "a request was at a target's death"
+            );
+        }
+    }
+
+    /// The next beat to peers.
+    pub(crate) fn beat(&mut self, now: Time) -> Beat {
+        let findings = std::mem::take(&mut self.findings);
+        let findings = findings
+            .into_iter()
+            .rev()
+            .take(MAX_REPORTS)
+            .map(|(at, finding)| Finding {
+                age_ms: u16::try_from(now.since(at).as_millis()).unwrap_or(u16::MAX),
+                ..finding
+            })
+            .collect();
+        let known: Vec<_> = self
+            .members
+            .live(now)
+            .map(|(address, member)| (address, member.zone.clone()))
+            .collect();
+        let count = known.len().min(MAX_NAMED);
+        let start = self.named;
+        self.named = self.named.wrapping_add(count);
+        let members = (0..count)
+            .map(|offset| known[(start + offset) % known.len()].clone())
+            .collect();
+        Beat {
+            zone: self.settings.zone.clone(),
+            standing: self.standing.clone(),
+            findings,
+            members,
+            cases: self.quarantine.cases(now).take(MAX_CASES).collect(),
+        }
+    }
+
+    /// Takes in a peer's beat.
+    pub(crate) fn heard(&mut self, now: Time, from: SocketAddr, beat: &Beat) {
+        if self.members.heard(now, from, beat) {
+            tracing::info!(peer = %from, zone = %beat.zone, "peer is live");
+        }
+        for (address, zone) in &beat.members {
+            self.members.introduce(now, *address, zone);
+        }
+        for finding in &beat.findings {
+            self.fleet.note_finding(now, finding);
+            self.note_if_dead(now, finding);
+        }
+        for case in &beat.cases {
+            self.quarantine.merge(now, case);
+        }
+    }
+
+    /// Forgets what is no longer of use; returns the targets that are gone.
+    pub(crate) fn forget(&mut self, now: Time) -> Vec<TargetId> {
+        let registered = &self.registered;
+        self.members.forget_silent(now, |address| {
+            registered.values().any(|known| known == address)
+        });
+        self.quarantine.forget(now);
+        self.fleet.forget_gone(now)
+    }
+
+    /// The addresses for a caller in `zone`.
+    pub(crate) fn addresses(&self, now: Time, zone: Option<&str>) -> Vec<SocketAddr> {
+        let own = self.standing.ready.then(|| Entry {
+            callers: self.settings.callers,
+            zone: self.settings.zone.clone(),
+        });
+        let peers = self.members.live(now).filter_map(|(_, member)| {
+            let ready = member.last.ready && !member.last.leaving;
+            Some(Entry {
+                callers: member.last.callers.filter(|_| ready)?,
+                zone: member.zone.clone(),
+            })
+        });
+        let entries: Vec<Entry> = own.into_iter().chain(peers).collect();
+        directory::addresses(&entries, zone)
+    }
+}
+
+fn log_change(change: &Applied, revision: u64, source: &str, lapsed: bool) {
+    match change {
+        Applied::Configuration(configuration) => tracing::info!(
+            version = configuration.version,
+            routes = configuration.routes.len(),
+            revision,
+            source,
+            "configuration in force"
+        ),
+        Applied::Put(key, record) => {
+            tracing::info!(
+                key = &**key,
+                state = describe(record),
+                revision,
+                source,
+                "record"
+            );
+        }
+        Applied::Removed(key, _) => {
+            tracing::info!(key = &**key, revision, source, lapsed, "record removed");
+        }
+    }
+}
+
+fn describe(record: &Record) -> &'static str {
+    match record {
+        Record::Configuration(_) => "configuration",
+        Record::Target(target) if target.leaving => "leaving",
+        Record::Target(target) if !target.cold_for.is_zero() => "cold",
+        Record::Target(_) => "ready",
+        Record::Evacuation(_) => "evacuated",
+        Record::Instance(_) => "registered",
+    }
+}
--- /dev/null
+++ b/src/entry/typical.rs
@@ -0,0 +1,61 @@
+//! The usual time of a route's requests, and when a second attempt pays.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+/// Answers after which the usual time of a route is known well enough.
+const ENOUGH: u32 = 10;
+/// Weight of one more answer.
+const WEIGHT: f64 = 0.08;
+/// An attempt counts as done within this multiple of the usual time; work varies by a
+/// third of its mean.
+const SPREAD: f64 = 1.5;
+/// An attempt is not given up on before this multiple of the usual time.
+const PATIENCE: f64 = 1.2;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Estimate {
+    seconds: f64,
+    answers: u32,
+}
+
+/// Usual times by route.
+#[derive(Debug, Clone, Default)]
+pub struct Typical {
+    routes: IndexMap<Arc<str>, Estimate>,
+}
+
+impl Typical {
+    /// Notes an answer that took `took` at a target whose work took `slowness` times
+    /// as long as usual.
+    pub fn note(&mut self, route: &Arc<str>, took: Duration, slowness: f64) {
+        let estimate = self.routes.entry(route.clone()).or_default();
+        let seconds = took.as_secs_f64() / slowness.max(1.0);
+        estimate.answers = estimate.answers.saturating_add(1);
+        let weight = WEIGHT.max(1.0 / f64::from(estimate.answers));
+        estimate.seconds += weight * (seconds - estimate.seconds);
+    }
+
+    /// The usual time of a route; `None` until enough answers came.
+    #[must_use]
+    pub fn of(&self, route: &str) -> Option<Duration> {
+        let estimate = self.routes.get(route)?;
+        (estimate.answers >= ENOUGH).then(|| Duration::from_secs_f64(estimate.seconds))
+    }
+}
+
+/// When a second attempt should be sent, counted from the request's arrival: late
+/// enough that most first attempts have ended, early enough that the second can end
+/// within the latency objective. `None` when there is no such time.
+///
+/// Load pattern: a target becomes several times slower while a request runs there.
+#[must_use]
+pub fn hedge_after(typical: Duration, objective: Duration) -> Option<Duration> {
+    let last = objective.checked_sub(typical.mul_f64(SPREAD))?;
+    (last >= typical.mul_f64(PATIENCE)).then_some(last)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/http1/body.rs
@@ -0,0 +1,173 @@
+//! The length of a message body, and reading it whole.
+
+use bytes::{Buf, Bytes, BytesMut};
+use http::HeaderMap;
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+use super::READ_BYTES;
+
+/// Longest line of a chunk's size, its extensions included.
+const MAX_CHUNK_LINE: usize = 256;
+
+/// How the end of a body is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// There is no body.
+    None,
+    /// The body has this many bytes.
+    Length(usize),
+    /// The body comes in chunks.
+    Chunked,
+    /// The body ends with the connection.
+    UntilClose,
+}
+
+/// Why a body was not read.
+#[derive(Debug, derive_more::Display)]
+pub(crate) enum BodyError {
+    /// The connection broke off.
+    #[display("the connection ended inside the body: {_0}")]
+    Truncated(String),
+    /// The framing is not HTTP.
+    #[display("the body's framing is malformed: {_0}")]
+    Malformed(&'static str),
+    /// The body is longer than allowed.
+    #[display("the body is longer than {_0} bytes")]
+    TooLarge(usize),
+}
+
+/// Reads the framing that the headers state; `None` without a statement.
+///
+/// # Errors
+/// Says what is ambiguous: such a message could hide a second one.
+pub(crate) fn stated_framing(headers: &HeaderMap) -> Result<Option<Framing>, &'static str> {
+    let mut codings = headers.get_all(http::header::TRANSFER_ENCODING).iter();
+    let mut lengths = headers.get_all(http::header::CONTENT_LENGTH).iter();
+    match (codings.next(), lengths.next()) {
+        (Some(_), Some(_)) => Err("both a length and a transfer coding"),
+        (Some(coding), None) => {
+            let chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+            if !chunked || codings.next().is_some() {
+                return Err("an unknown transfer coding");
+            }
+            Ok(Some(Framing::Chunked))
+        }
+        (None, Some(length)) => {
+            if lengths.any(|other| other != length) {
+                return Err("two lengths");
+            }
+            let text = length.to_str().map_err(|_| "an unreadable length")?;
+            if text.is_empty() || !text.bytes().all(|b| b.is_ascii_digit()) {
+                return Err("an unreadable length");
+            }
+            let length = text.parse().map_err(|_| "a length out of range")?;
+            Ok(Some(Framing::Length(length)))
+        }
+        (None, None) => Ok(None),
+    }
+}
+
+/// Reads a whole body; what follows it stays in `buf`.
+///
+/// # Errors
+/// See [`BodyError`].
+pub(crate) async fn read_body<R: AsyncRead + Unpin>(
+    rx: &mut R,
+    buf: &mut BytesMut,
+    framing: Framing,
+    max: usize,
+) -> Result<Bytes, BodyError> {
+    match framing {
+        Framing::None => Ok(Bytes::new()),
+        Framing::Length(length) if length > max => Err(BodyError::TooLarge(max)),
+        Framing::Length(length) => {
+            while buf.len() < length {
+                fill(rx, buf).await?;
+            }
+            Ok(buf.split_to(length).freeze())
+        }
+        Framing::Chunked => read_chunks(rx, buf, max).await,
+        Framing::UntilClose => read_to_end(rx, buf, max).await,
+    }
+}
+
+async fn read_to_end<R: AsyncRead + Unpin>(
+    rx: &mut R,
+    buf: &mut BytesMut,
+    max: usize,
+) -> Result<Bytes, BodyError> {
+    loop {
+        if buf.len() > max {
+            return Err(BodyError::TooLarge(max));
+        }
+        buf.reserve(READ_BYTES);
+        match rx.read_buf(buf).await {
+            Ok(0) => return Ok(buf.split().freeze()),
+            Ok(_) => {}
+            Err(err) => return Err(BodyError::Truncated(err.to_string())),
+        }
+    }
+}
+
+async fn read_chunks<R: AsyncRead + Unpin>(
+    rx: &mut R,
+    buf: &mut BytesMut,
+    max: usize,
+) -> Result<Bytes, BodyError> {
+    let mut body = BytesMut::new();
+    loop {
+        let line = read_line(rx, buf).await?;
+        let size = chunk_size(&line)?;
+        if size == 0 {
+            while !read_line(rx, buf).await?.is_empty() {}
+            return Ok(body.freeze());
+        }
+        if body.len() + size > max {
+            return Err(BodyError::TooLarge(max));
+        }
+        while buf.len() < size + 2 {
+            fill(rx, buf).await?;
+        }
+        body.extend_from_slice(&buf[..size]);
+        if &buf[size..size + 2] != b"\r\n" {
+            return Err(BodyError::Malformed("a chunk without its end"));
+        }
+        buf.advance(size + 2);
+    }
+}
+
+fn chunk_size(line: &[u8]) -> Result<usize, BodyError> {
+    const BAD: BodyError = BodyError::Malformed("an unreadable chunk size");
+    let digits = line.split(|b| *b == b';').next().unwrap_or_default();
+    let text = std::str::from_utf8(digits).map_err(|_| BAD)?.trim();
+    if text.is_empty() || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return Err(BAD);
+    }
+    usize::from_str_radix(text, 16).map_err(|_| BAD)
+}
+
+async fn read_line<R: AsyncRead + Unpin>(
+    rx: &mut R,
+    buf: &mut BytesMut,
+) -> Result<BytesMut, BodyError> {
+    loop {
+        if let Some(end) = buf.windows(2).position(|pair| pair == b"\r\n") {
+            let line = buf.split_to(end);
+            buf.advance(2);
+            return Ok(line);
+        }
+        if buf.len() > MAX_CHUNK_LINE {
+            return Err(BodyError::Malformed("a chunk line without end"));
+        }
+        fill(rx, buf).await?;
+    }
+}
+
+async fn fill<R: AsyncRead + Unpin>(rx: &mut R, buf: &mut BytesMut) -> Result<(), BodyError> {
+    buf.reserve(READ_BYTES);
+    match rx.read_buf(buf).await {
+        Ok(0) => Err(BodyError::Truncated("closed by the peer".into())),
+        Ok(_) => Ok(()),
+        Err(err) => Err(BodyError::Truncated(err.to_string())),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,8 @@
 mod config;
 mod control;
 mod demo;
+mod entry;
+mod http1;
 mod instance;
 mod macros;
 mod names;
--- /dev/null
+++ b/src/observe/lines.rs
@@ -0,0 +1,84 @@
+//! A writer of log lines that never blocks the one who logs.
+
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::Duration;
+
+use tracing_subscriber::fmt::MakeWriter;
+
+/// Lines that wait to be written; a few seconds of a busy instance.
+const MAX_WAITING: usize = 2048;
+/// Time in which lines are gathered for one write.
+const GATHER: Duration = Duration::from_millis(100);
+
+/// Lines dropped since the start.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Lines that were dropped because the buffer was full.
+pub(crate) fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// A writer to standard output over a bounded buffer and a thread of its own.
+pub(crate) fn writer() -> Lines {
+    let (tx, rx) = sync_channel(MAX_WAITING);
+    let spawned = std::thread::Builder::new()
+        .name("log".into())
+        .spawn(move || write_lines(&rx));
+    if let Err(err) = spawned {
+        eprintln!("no log is written: {err}");
+    }
+    Lines { tx }
+}
+
+/// Hands each line to the thread that writes.
+#[derive(Debug, Clone)]
+pub(crate) struct Lines {
+    tx: SyncSender<Vec<u8>>,
+}
+
+impl Write for Lines {
+    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        if self.tx.try_send(line.to_vec()).is_err() {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+impl MakeWriter<'_> for Lines {
+    type Writer = Self;
+
+    fn make_writer(&self) -> Self::Writer {
+        self.clone()
+    }
+}
+
+fn write_lines(rx: &Receiver<Vec<u8>>) {
+    let mut reported = 0;
+    while let Ok(first) = rx.recv() {
+        std::thread::sleep(GATHER);
+        let mut batch = first;
+        while let Ok(line) = rx.try_recv() {
+            batch.extend_from_slice(&line);
+        }
+        let lost = dropped();
+        if lost > reported {
+            batch.extend_from_slice(
+                format!(
+                    "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":{}}}\n",
+                    lost - reported
+                )
+                .as_bytes(),
+            );
+            reported = lost;
+        }
+        // Nobody reads the log: there is nowhere left to say so.
+        let _ = std::io::stdout().lock().write_all(&batch);
+    }
+}
--- a/src/observe/log.rs
+++ b/src/observe/log.rs
@@ -7,6 +7,7 @@
 use tracing_subscriber::util::SubscriberInitExt;
 use tracing_subscriber::{EnvFilter, Layer, Registry, fmt, reload};
 
+use super::lines;
 use crate::settings::LogSettings;
 
 /// Changes the log's filter while the process runs.
@@ -63,3 +64,21 @@
     EnvFilter::try_new(text)
         .map_err(|err| format!("`{text}` is not a log filter ({err}); write one such as info or info,wagtailsaddle=debug"))
 }
+
+/// Starts logging to standard output, one JSON object a line, without ever blocking:
+/// lines that don't fit the buffer are dropped and counted.
+pub(crate) fn start_lines() {
+    let lines = fmt::layer()
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .with_writer(lines::writer());
+    let filter = EnvFilter::new("info");
+    if tracing_subscriber::registry()
+        .with(lines.with_filter(filter))
+        .try_init()
+        .is_err()
+    {
+        tracing::debug!("logging was started before");
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,5 +5,6 @@
 mod etcd_watch;
 pub(crate) mod http;
 pub mod list;
+pub(crate) mod prepared;
 pub mod store;
 pub mod view;
--- /dev/null
+++ b/src/platform/prepared/record.rs
@@ -0,0 +1,285 @@
+//! Decodes the records of the platform's store into this project's types.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+use crate::entry::model::{
+    CallerBounds, Configuration, Part, Record, Registration, Repeat, Route, ServiceRules, Target,
+};
+use crate::names::{ServiceName, ZoneName};
+
+/// Key of the configuration.
+const CONFIGURATION: &str = "op/config";
+/// Keys of zones that are to get no requests.
+const EVACUATIONS: &str = "op/evacuate/";
+/// Keys of targets.
+const TARGETS: &str = "servers/";
+/// Keys that entry instances register under.
+const INSTANCES: &str = "entries/";
+
+/// Key under which an instance registers itself.
+pub(crate) fn registration_key(address: SocketAddr) -> String {
+    format!("{INSTANCES}{address}")
+}
+
+/// Value under which an instance registers itself.
+pub(crate) fn registration_value(registration: &Registration) -> Vec<u8> {
+    let value = InstanceValue {
+        address: registration.address,
+        zone: registration.zone.as_str().into(),
+    };
+    serde_json::to_vec(&value).unwrap_or_default()
+}
+
+/// Decodes a record; `Ok(None)` for keys of no meaning here.
+///
+/// # Errors
+/// Says what is wrong with a record that is to be skipped.
+pub(crate) fn decode(key: &str, value: &[u8]) -> Result<Option<Record>, String> {
+    if key == CONFIGURATION {
+        return configuration(value)
+            .map(|configuration| Some(Record::Configuration(Arc::new(configuration))));
+    }
+    if let Some(zone) = key.strip_prefix(EVACUATIONS) {
+        return Ok(Some(Record::Evacuation(ZoneName::from(zone))));
+    }
+    if let Some(id) = key.strip_prefix(TARGETS) {
+        return target(id, value).map(|target| Some(Record::Target(target)));
+    }
+    if key.starts_with(INSTANCES) {
+        let wire: InstanceValue = json(value)?;
+        return Ok(Some(Record::Instance(Registration {
+            address: wire.address,
+            zone: ZoneName::from(&*wire.zone),
+        })));
+    }
+    Ok(None)
+}
+
+#[derive(Serialize, Deserialize)]
+struct InstanceValue {
+    address: SocketAddr,
+    zone: Box<str>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum TargetState {
+    Ready,
+    Draining,
+}
+
+#[derive(Deserialize)]
+struct TargetValue {
+    service: Box<str>,
+    address: SocketAddr,
+    zone: Box<str>,
+    slots: u32,
+    state: TargetState,
+    #[serde(default)]
+    warmup_left_ms: f64,
+    #[serde(default)]
+    born: u64,
+}
+
+fn target(id: &str, value: &[u8]) -> Result<Target, String> {
+    let wire: TargetValue = json(value)?;
+    if id.is_empty() || wire.service.is_empty() || wire.slots == 0 {
+        return Err("a target without id, service or slots".into());
+    }
+    Ok(Target {
+        id: id.into(),
+        service: (&*wire.service).into(),
+        address: wire.address,
+        zone: (&*wire.zone).into(),
+        slots: wire.slots,
+        leaving: matches!(wire.state, TargetState::Draining),
+        cold_for: millis(wire.warmup_left_ms),
+        started_ms: wire.born,
+    })
+}
+
+#[derive(Deserialize)]
+struct Table {
+    columns: Vec<String>,
+    rows: Vec<Vec<Value>>,
+}
+
+impl Table {
+    /// Turns each row into an object and decodes it; rows that don't decode are logged.
+    fn decode<T: DeserializeOwned>(self, what: &str) -> Vec<T> {
+        let columns = self.columns;
+        self.rows
+            .into_iter()
+            .filter_map(|row| {
+                let object: Map<String, Value> = columns
+                    .iter()
+                    .cloned()
+                    .zip(row)
+                    .filter(|(_, value)| !value.is_null())
+                    .collect();
+                serde_json::from_value(Value::Object(object))
+                    .map_err(|err| tracing::warn!(what, %err, "skipped a row of the configuration"))
+                    .ok()
+            })
+            .collect()
+    }
+}
+
+#[derive(Deserialize)]
+struct ConfigurationValue {
+    version: String,
+    routes: Table,
+    services: Table,
+    #[serde(default)]
+    limits: Option<LimitsValue>,
+}
+
+#[derive(Deserialize)]
+struct LimitsValue {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    header_timeout_ms: f64,
+    idle_timeout_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum KindValue {
+    Safe,
+    Unsafe,
+    Download,
+}
+
+#[derive(Deserialize)]
+struct PartValue {
+    service: Box<str>,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+struct RouteValue {
+    name: Arc<str>,
+    host: Arc<str>,
+    prefix: Arc<str>,
+    #[serde(rename = "type")]
+    kind: KindValue,
+    timeout_ms: f64,
+    #[serde(default)]
+    target_latency_ms: Option<f64>,
+    #[serde(default)]
+    priority: u32,
+    #[serde(default)]
+    max_attempts: Option<u32>,
+    #[serde(default)]
+    service: Option<Box<str>>,
+    #[serde(default)]
+    traffic_split: Option<Vec<PartValue>>,
+}
+
+#[derive(Deserialize)]
+struct ServiceValue {
+    name: Box<str>,
+    health_path: Arc<str>,
+    #[serde(default)]
+    max_connections: Option<u32>,
+    #[serde(default)]
+    warmup_per_s: Option<f64>,
+}
+
+fn configuration(value: &[u8]) -> Result<Configuration, String> {
+    let wire: ConfigurationValue = json(value)?;
+    let bounds = wire
+        .limits
+        .map_or_else(CallerBounds::default, |limits| CallerBounds {
+            head_bytes: limits.max_header_bytes,
+            body_bytes: limits.max_body_bytes,
+            head_time: millis(limits.header_timeout_ms),
+            idle_time: millis(limits.idle_timeout_ms),
+        });
+    let services: IndexMap<ServiceName, ServiceRules> = wire
+        .services
+        .decode::<ServiceValue>("service")
+        .into_iter()
+        .map(service)
+        .collect();
+    let routes = wire
+        .routes
+        .decode::<RouteValue>("route")
+        .into_iter()
+        .filter_map(route)
+        .collect();
+    Ok(Configuration {
+        version: version(&wire.version)?,
+        routes,
+        services,
+        bounds,
+    })
+}
+
+fn service(wire: ServiceValue) -> (ServiceName, ServiceRules) {
+    let rules = ServiceRules {
+        health_path: wire.health_path,
+        max_connections: wire.max_connections.unwrap_or(u32::MAX),
+        cold_rate: wire.warmup_per_s.unwrap_or(f64::INFINITY),
+    };
+    ((&*wire.name).into(), rules)
+}
+
+fn route(wire: RouteValue) -> Option<Route> {
+    let timeout = millis(wire.timeout_ms);
+    let split = wire.traffic_split.unwrap_or_default();
+    let mut parts: Vec<Part> = split
+        .into_iter()
+        .filter(|part| part.weight > 0.0)
+        .map(|part| Part {
+            service: (&*part.service).into(),
+            weight: part.weight,
+        })
+        .collect();
+    if parts.is_empty() {
+        parts.extend(wire.service.map(|service| Part {
+            service: (&*service).into(),
+            weight: 1.0,
+        }));
+    }
+    if parts.is_empty() {
+        tracing::warn!(route = %wire.name, "skipped a route without a service");
+        return None;
+    }
+    Some(Route {
+        name: wire.name,
+        host: wire.host,
+        prefix: wire.prefix,
+        repeat: match wire.kind {
+            KindValue::Unsafe => Repeat::Never,
+            KindValue::Safe | KindValue::Download => Repeat::Safe,
+        },
+        timeout,
+        objective: wire.target_latency_ms.map_or(timeout, millis),
+        priority: wire.priority,
+        max_attempts: wire.max_attempts.unwrap_or(1).max(1),
+        parts,
+    })
+}
+
+/// Reads a version: a letter and a number.
+fn version(text: &str) -> Result<u64, String> {
+    text.strip_prefix('r')
+        .and_then(|digits| digits.parse().ok())
+        .ok_or_else(|| format!("`{text}` is not a version"))
+}
+
+fn millis(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value.max(0.0) / 1000.0).unwrap_or(Duration::MAX)
+}
+
+fn json<T: DeserializeOwned>(value: &[u8]) -> Result<T, String> {
+    serde_json::from_slice(value).map_err(|err| err.to_string())
+}
--- /dev/null
+++ b/src/platform/prepared/settings.rs
@@ -0,0 +1,192 @@
+//! Reads the settings file that the platform writes.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+
+use crate::entry::settings::EntrySettings;
+use crate::error::Error;
+
+/// Variable with the path of the settings file.
+const PATH_VARIABLE: &str = "WAGTAILSADDLE_SETTINGS";
+/// Where the file is when the variable is not set.
+const DEFAULT_PATH: &str = "/etc/wagtailsaddle/settings.json";
+
+/// The path of the settings file.
+pub(crate) fn path() -> PathBuf {
+    std::env::var_os(PATH_VARIABLE).map_or_else(|| DEFAULT_PATH.into(), PathBuf::from)
+}
+
+/// Whether a settings file is the platform's and not this project's own.
+pub(crate) fn is_platform_format(text: &str) -> bool {
+    serde_json::from_str::<IndexMap<String, serde::de::IgnoredAny>>(text)
+        .is_ok_and(|fields| fields.contains_key("node_name") && fields.contains_key("listen"))
+}
+
+/// Reads and checks the file.
+///
+/// # Errors
+/// The file can't be read, or every problem in it with its path.
+pub(crate) fn load(path: &Path) -> Result<EntrySettings, Error> {
+    let text = std::fs::read_to_string(path).map_err(|source| Error::ReadFile {
+        path: path.to_owned(),
+        source,
+    })?;
+    parse(&text).map_err(|problems| Error::Invalid {
+        origin: path.display().to_string(),
+        problems,
+    })
+}
+
+/// Reads and checks the settings in `text`.
+///
+/// # Errors
+/// Every problem, each with the path of its field.
+pub(crate) fn parse(text: &str) -> Result<EntrySettings, Vec<String>> {
+    let mut deserializer = serde_json::Deserializer::from_str(text);
+    let wire: Settings = serde_path_to_error::deserialize(&mut deserializer)
+        .map_err(|err| vec![format!("{}: {}", err.path(), err.inner())])?;
+    let problems = problems(&wire);
+    if problems.is_empty() {
+        Ok(settings(wire))
+    } else {
+        Err(problems)
+    }
+}
+
+#[derive(Deserialize)]
+struct Settings {
+    node_name: String,
+    ip: IpAddr,
+    zone: String,
+    #[serde(default)]
+    zones: IndexMap<String, String>,
+    listen: Listen,
+    port_range: (u16, u16),
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
+    #[serde(default)]
+    bootstrap: bool,
+    #[serde(default)]
+    bounds: Bounds,
+    platform: Platform,
+}
+
+#[derive(Deserialize)]
+struct Listen {
+    front: Option<SocketAddr>,
+    ready: Option<SocketAddr>,
+    directory: Option<SocketAddr>,
+}
+
+#[derive(Deserialize)]
+struct Platform {
+    address: SocketAddr,
+    #[serde(default)]
+    ttl_min_ms: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Bounds {
+    drain_ms: f64,
+    grace_s: f64,
+    retry_budget_ratio: f64,
+    budget_window_s: f64,
+    budget_slack: f64,
+    cold_over: f64,
+    cold_slack: f64,
+    ttl_max_s: f64,
+    probes_per_s: f64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            drain_ms: 2000.0,
+            grace_s: 6.0,
+            retry_budget_ratio: 0.2,
+            budget_window_s: 10.0,
+            budget_slack: 0.0,
+            cold_over: 1.0,
+            cold_slack: 0.0,
+            ttl_max_s: 5.0,
+            probes_per_s: 10.0,
+        }
+    }
+}
+
+fn problems(wire: &Settings) -> Vec<String> {
+    let mut problems = Vec::new();
+    let mut check = |holds: bool, text: &str| {
+        if !holds {
+            problems.push(text.to_owned());
+        }
+    };
+    let bounds = &wire.bounds;
+    check(!wire.node_name.is_empty(), "node_name: must not be empty");
+    check(!wire.zone.is_empty(), "zone: must not be empty");
+    check(
+        wire.zones.is_empty() || wire.zones.contains_key(&wire.zone),
+        "zone: must be one of `zones`",
+    );
+    check(wire.listen.front.is_some(), "listen.front: must be given");
+    check(
+        wire.port_range.0 <= wire.port_range.1,
+        "port_range: the first port must not be above the last",
+    );
+    check(bounds.grace_s > 0.0, "bounds.grace_s: must be above 0");
+    check(
+        bounds.budget_window_s > 0.0,
+        "bounds.budget_window_s: must be above 0",
+    );
+    check(
+        bounds.retry_budget_ratio >= 0.0,
+        "bounds.retry_budget_ratio: must not be negative",
+    );
+    check(
+        bounds.budget_slack >= 0.0,
+        "bounds.budget_slack: must not be negative",
+    );
+    check(
+        bounds.probes_per_s > 0.0,
+        "bounds.probes_per_s: must be above 0",
+    );
+    problems
+}
+
+fn settings(wire: Settings) -> EntrySettings {
+    let bounds = wire.bounds;
+    EntrySettings {
+        name: wire.node_name.into(),
+        ip: wire.ip,
+        zone: wire.zone.as_str().into(),
+        callers: wire
+            .listen
+            .front
+            .unwrap_or_else(|| SocketAddr::new(wire.ip, 0)),
+        readiness: wire.listen.ready,
+        directory: wire.listen.directory,
+        peers: SocketAddr::new(wire.ip, wire.port_range.0),
+        seeds: wire.seeds.iter().map(SocketAddr::ip).collect(),
+        first_start: wire.bootstrap,
+        store: wire.platform.address,
+        min_lease: Duration::from_millis(wire.platform.ttl_min_ms),
+        grace: seconds(bounds.grace_s),
+        leave_within: seconds(bounds.drain_ms / 1000.0),
+        repeat_ratio: bounds.retry_budget_ratio,
+        repeat_window: seconds(bounds.budget_window_s),
+        repeat_slack: bounds.budget_slack,
+        cold_factor: bounds.cold_over,
+        cold_slack: bounds.cold_slack,
+        max_directory_ttl: seconds(bounds.ttl_max_s),
+        max_probe_rate: bounds.probes_per_s,
+    }
+}
+
+fn seconds(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value.max(0.0)).unwrap_or(Duration::MAX)
+}
