Queue a request at a target only while it can end within its objective

Ruled out: a wrong view of the load (report ages below 100 ms in the log).

Change: placement takes the request's need; a target with no free slot is chosen only if the expected end lies within 0.85 of the objective left, and a request leaves the line once it can't end in time. The usual time of a route follows the median of answers from targets with a free slot.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -224,8 +224,13 @@
             Fact::Lost => state.quarantine.broke(now, choice.address, fingerprint),
             Fact::Answered => {
                 state.quarantine.answered(now, fingerprint);
-                let slowness = choice.candidate.slowness_percent.unwrap_or(100.0) / 100.0;
-                state.typical.note(&out.route, began.elapsed(), slowness);
+                let at = &choice.candidate;
+                if let Some(percent) = at.slowness_percent
+                    && at.occupied < at.slots
+                {
+                    let took = began.elapsed();
+                    state.typical.note(&out.route, took, percent / 100.0);
+                }
             }
             _ => {}
         }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -11,6 +11,7 @@
 
 use super::attempt::{Attempted, Outbound};
 use super::model::{Repeat, Route};
+use super::placement::Need;
 use super::shared::Shared;
 use super::state::{Choice, NoTarget};
 use super::typical::hedge_after;
@@ -30,8 +31,8 @@
 const COME_BACK_RANGE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
 /// Time between two looks for room where no end of a request announces it.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
-/// Time of work that is assumed of a route before it is known.
-const ASSUMED_TYPICAL: Duration = Duration::from_millis(100);
+/// Part of the latency objective that work is assumed to take before it is known.
+const ASSUMED_TYPICAL: f64 = 0.35;
 
 /// How a request ended, for the log and the counters.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
@@ -223,9 +224,15 @@
         if self.history.ran + 1 >= self.admitted.route.max_attempts {
             return None;
         }
+        let typical = self.typical();
         let mut state = self.shared.state();
         let choice = state
-            .choose(now, &self.admitted.service, &self.tried)
+            .choose(
+                now,
+                &self.admitted.service,
+                &self.need(typical),
+                &self.tried,
+            )
             .ok()?;
         let worth = choice
             .candidate
@@ -269,7 +276,7 @@
             let room = self.shared.room.notified();
             match ticket.try_place() {
                 Ok(choice) => return Ok(choice),
-                Err(NoTarget::Full) => ticket.join()?,
+                Err(NoTarget::Full) => ticket.join_or_give_up()?,
                 Err(NoTarget::None | NoTarget::Tried) => return Err(COME_BACK),
             }
             tokio::select! {
@@ -281,8 +288,18 @@
     }
 
     fn typical(&self) -> Duration {
-        let typical = self.shared.state().typical.of(&self.admitted.route.name);
-        typical.unwrap_or(ASSUMED_TYPICAL)
+        let route = &self.admitted.route;
+        let typical = self.shared.state().typical.of(&route.name);
+        typical.unwrap_or_else(|| route.objective.mul_f64(ASSUMED_TYPICAL))
+    }
+
+    fn need(&self, typical: Duration) -> Need {
+        let elapsed = self.out.began.elapsed();
+        Need {
+            typical,
+            objective_left: self.admitted.route.objective.saturating_sub(elapsed),
+            left: self.until.saturating_duration_since(Instant::now()),
+        }
     }
 
     fn deliver(&self, done: Attempted) -> (Outcome, Reply) {
@@ -360,6 +377,7 @@
     fn try_place(&self) -> Result<Choice, NoTarget> {
         let call = self.call;
         let now = call.shared.now();
+        let need = call.need(call.typical());
         let mut state = call.shared.state();
         let service = &call.admitted.service;
         let priority = call.admitted.route.priority;
@@ -370,17 +388,18 @@
         if !may_go {
             return Err(NoTarget::Full);
         }
-        state.choose(now, service, &call.tried)
+        state.choose(now, service, &need, &call.tried)
     }
 
-    /// Joins the line, or says when to come back if it is too long.
-    fn join(&mut self) -> Result<(), Duration> {
-        if self.ticket.is_some() {
-            return Ok(());
-        }
+    /// Joins the line, or says when to come back once the request can't end within
+    /// its objective any more.
+    fn join_or_give_up(&mut self) -> Result<(), Duration> {
         let call = self.call;
         let typical = call.typical();
-        let left = call.until.saturating_duration_since(Instant::now());
+        let left = call.need(typical).objective_left;
+        if self.ticket.is_some() {
+            return if typical > left { Err(typical) } else { Ok(()) };
+        }
         let mut state = call.shared.state();
         let slots = state.own_slots(&call.admitted.service);
         let line = state
--- a/src/entry/placement.rs
+++ b/src/entry/placement.rs
@@ -2,6 +2,11 @@
 //!
 //! Load pattern: most slots are free, but a quarter of the targets run several times
 //! slower in spells of half a second, and many instances choose at the same time.
+//! When callers want more than the targets can do, work that queues until it is late
+//! would make all of it late, so a request is queued at a target only while it can
+//! still end within its latency objective.
+
+use std::time::Duration;
 
 /// How targets are weighed.
 #[derive(Debug, Clone, PartialEq)]
@@ -25,6 +30,9 @@
     pub unknown_slowness: f64,
     /// Requests beyond its slots that a target is given, as a part of its slots.
     pub queue: f64,
+    /// Part of the time left to the latency objective within which the expected end
+    /// must lie for a request to queue; the rest allows for work that varies.
+    pub objective_part: f64,
 }
 
 impl Default for PlacementSettings {
@@ -38,6 +46,7 @@
             tie: 0.12,
             unknown_slowness: 250.0,
             queue: 1.0,
+            objective_part: 0.85,
         }
     }
 }
@@ -61,6 +70,17 @@
     pub failing: f64,
 }
 
+/// What a request needs of its target.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Need {
+    /// Usual time of the work.
+    pub typical: Duration,
+    /// Time left to the latency objective.
+    pub objective_left: Duration,
+    /// Time left to the deadline.
+    pub left: Duration,
+}
+
 /// Whether another request may be sent to a target at all; beyond this it may hang.
 #[must_use]
 pub fn has_room(candidate: &Candidate, settings: &PlacementSettings) -> bool {
@@ -92,12 +112,54 @@
     slowness * (1.0 + fill + waiting) * health * cold * failing + zone
 }
 
-/// The index of the chosen target among those with room; `draw` is in `0.0..1.0`.
+/// Expected time until another request ends at a target.
 #[must_use]
-pub fn choose(candidates: &[Candidate], settings: &PlacementSettings, draw: f64) -> Option<usize> {
+pub fn expected_end(
+    candidate: &Candidate,
+    typical: Duration,
+    settings: &PlacementSettings,
+) -> Duration {
+    let slowness = candidate
+        .slowness_percent
+        .unwrap_or(settings.unknown_slowness)
+        / 100.0;
+    let waiting = (candidate.occupied + 1.0 - candidate.slots).max(0.0) / candidate.slots.max(1.0);
+    let cold = if candidate.cold { settings.cold } else { 1.0 };
+    typical.mul_f64(slowness * cold * (1.0 + waiting))
+}
+
+/// The index of the chosen target; `draw` is in `0.0..1.0`.
+///
+/// Targets where the request ends within its objective come first. Without one, it
+/// goes where a slot is free and it ends before its deadline, late as it will be.
+#[must_use]
+pub fn choose(
+    candidates: &[Candidate],
+    need: &Need,
+    settings: &PlacementSettings,
+    draw: f64,
+) -> Option<usize> {
+    let end = |candidate: &Candidate| expected_end(candidate, need.typical, settings);
+    let objective = need.objective_left.mul_f64(settings.objective_part);
+    let in_time =
+        |candidate: &Candidate| has_room(candidate, settings) && end(candidate) <= objective;
+    let late = |candidate: &Candidate| {
+        candidate.occupied + 1.0 <= candidate.slots && end(candidate) <= need.left
+    };
+    cheapest(candidates, in_time, settings, draw)
+        .or_else(|| cheapest(candidates, late, settings, draw))
+}
+
+/// One of the cheapest targets that `fits`.
+fn cheapest(
+    candidates: &[Candidate],
+    fits: impl Fn(&Candidate) -> bool,
+    settings: &PlacementSettings,
+    draw: f64,
+) -> Option<usize> {
     let costs: Vec<Option<f64>> = candidates
         .iter()
-        .map(|candidate| has_room(candidate, settings).then(|| cost(candidate, settings)))
+        .map(|candidate| fits(candidate).then(|| cost(candidate, settings)))
         .collect();
     let best = costs
         .iter()
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -15,7 +15,7 @@
 use super::members::{Members, Standing};
 use super::message::{Beat, Finding, Health, MAX_CASES, MAX_NAMED, MAX_REPORTS};
 use super::model::{CallerBounds, Record, Route};
-use super::placement::{self, Candidate};
+use super::placement::{self, Candidate, Need};
 use super::replica::{Applied, Delta, Replica};
 use super::routes::{Dealer, RouteTable};
 use super::settings::{EntrySettings, Tuning};
@@ -254,17 +254,18 @@
         (self.members.known().count() + 1) as f64
     }
 
-    /// Chooses a target of a service that is not in `tried`, and counts the request
-    /// as in flight there.
+    /// Chooses a target of a service that is not in `tried` and meets `need`, and
+    /// counts the request as in flight there.
     pub(crate) fn choose(
         &mut self,
         now: Time,
         service: &ServiceName,
+        need: &Need,
         tried: &[TargetId],
     ) -> Result<Choice, NoTarget> {
         let mut survey = self.survey(now, service, tried);
         let draw = rand::rng().random();
-        let chosen = placement::choose(&survey.candidates, &self.tuning.placement, draw);
+        let chosen = placement::choose(&survey.candidates, need, &self.tuning.placement, draw);
         let id = match chosen {
             Some(index) => survey.ids.swap_remove(index),
             None if !survey.candidates.is_empty() || survey.full => return Err(NoTarget::Full),
--- a/src/entry/typical.rs
+++ b/src/entry/typical.rs
@@ -7,8 +7,9 @@
 
 /// Answers after which the usual time of a route is known well enough.
 const ENOUGH: u32 = 10;
-/// Weight of one more answer.
-const WEIGHT: f64 = 0.08;
+/// Step of the estimate towards one more answer, as a part of it. Equal steps up and
+/// down make it follow the median, which a few slow answers don't move.
+const STEP: f64 = 0.03;
 /// An attempt counts as done within this multiple of the usual time; work varies by a
 /// third of its mean.
 const SPREAD: f64 = 1.5;
@@ -28,14 +29,19 @@
 }
 
 impl Typical {
-    /// Notes an answer that took `took` at a target whose work took `slowness` times
-    /// as long as usual.
+    /// Notes an answer that took `took` at a target that had a free slot and whose work
+    /// took `slowness` times as long as usual.
     pub fn note(&mut self, route: &Arc<str>, took: Duration, slowness: f64) {
         let estimate = self.routes.entry(route.clone()).or_default();
         let seconds = took.as_secs_f64() / slowness.max(1.0);
         estimate.answers = estimate.answers.saturating_add(1);
-        let weight = WEIGHT.max(1.0 / f64::from(estimate.answers));
-        estimate.seconds += weight * (seconds - estimate.seconds);
+        if estimate.answers <= ENOUGH {
+            estimate.seconds += (seconds - estimate.seconds) / f64::from(estimate.answers);
+        } else if seconds > estimate.seconds {
+            estimate.seconds *= 1.0 + STEP;
+        } else {
+            estimate.seconds *= 1.0 - STEP;
+        }
     }
 
     /// The usual time of a route; `None` until enough answers came.
