Send second attempts by the present slowness of the target

Cause: late answers at both sites are those whose target slowed down after it was chosen (p99 of 2.5 s at Silos is work of 0.22 s at a seventh of the speed). Second attempts went out at a fixed time derived from the objective, which at Silos lay before the usual time of the work, so none was ever sent (15 repeats in 5,700 requests). Ruled out: a lack of repeat budget (no refusal in the log).

Change: each running attempt's progress is estimated from its target's reported slowness, each 50 ms; a second attempt goes out when the first is expected to miss the objective, or seems stuck, and the second is expected to meet it.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -10,11 +10,11 @@
 use http::{HeaderMap, HeaderValue};
 
 use super::attempt::{Attempted, Outbound};
+use super::hedge::{self, Progress};
 use super::model::{Repeat, Route};
-use super::placement::Need;
+use super::placement::{self, Need};
 use super::shared::Shared;
 use super::state::{Choice, NoTarget};
-use super::typical::hedge_after;
 use super::verdict::{self, Fact, History, Next};
 use super::waiting::{Ticket, expected_wait};
 use crate::dispatch::quarantine::{Fingerprint, Verdict};
@@ -31,6 +31,9 @@
 const COME_BACK_RANGE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
 /// Time between two looks for room where no end of a request announces it.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
+/// Time between two looks at whether a second attempt pays; figures of targets come
+/// with the beats, about twice as far apart.
+const HEDGE_LOOK: Duration = Duration::from_millis(50);
 /// Part of the latency objective that work is assumed to take before it is known.
 const ASSUMED_TYPICAL: f64 = 0.35;
 
@@ -97,6 +100,7 @@
                 history: History::default(),
                 tried: Vec::new(),
                 hedged: false,
+                progress: Progress::default(),
             };
             call.run().await
         }
@@ -140,21 +144,27 @@
     history: History,
     tried: Vec<TargetId>,
     hedged: bool,
+    /// How far the last attempt has come.
+    progress: Progress,
 }
 
 impl Call<'_> {
     async fn run(&mut self) -> (Outcome, Reply) {
         let mut running = Running::new();
         let mut failure: Option<Answer> = None;
-        let mut hedge_at = self.hedge_at();
+        let mut look = tokio::time::interval(HEDGE_LOOK);
+        look.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             if running.is_empty() {
                 match self.place().await {
-                    Ok(choice) => running.push(self.start(choice)),
+                    Ok(choice) => {
+                        running.push(self.start(choice));
+                        look.reset();
+                    }
                     Err(wait) => return self.end_without_target(failure, wait),
                 }
             }
-            let hedge = hedge_at.filter(|_| running.len() == 1);
+            let may_hedge = running.len() == 1 && self.may_hedge();
             tokio::select! {
                 biased;
                 Some(done) = running.next() => {
@@ -175,23 +185,16 @@
                         Next::Fail => return self.end_without_target(failure, COME_BACK),
                     }
                 }
-                () = sleep_until(hedge) => {
-                    hedge_at = None;
-                    running.extend(self.hedge());
-                }
+                _ = look.tick(), if may_hedge => running.extend(self.hedge()),
                 () = tokio::time::sleep_until(self.until.into()) => return self.time_out(),
             }
         }
     }
 
-    /// When a second attempt would pay; only for requests that may run twice.
-    fn hedge_at(&self) -> Option<Instant> {
+    /// Whether the request may run twice, and hasn't yet.
+    fn may_hedge(&self) -> bool {
         let route = &self.admitted.route;
-        if route.repeat != Repeat::Safe || route.max_attempts < 2 {
-            return None;
-        }
-        let typical = self.shared.state().typical.of(&route.name)?;
-        Some(self.out.began + hedge_after(typical, route.objective)?)
+        route.repeat == Repeat::Safe && !self.hedged && self.history.ran + 1 < route.max_attempts
     }
 
     fn within_budget(&self, next: Next, fact: Fact) -> Next {
@@ -216,36 +219,40 @@
         taken
     }
 
+    /// Sends a second attempt beside the running one if it pays.
     fn hedge<'b>(&mut self) -> Option<Pin<Box<dyn Future<Output = Attempted> + Send + 'b>>>
     where
         Self: 'b,
     {
         let now = self.shared.now();
-        if self.history.ran + 1 >= self.admitted.route.max_attempts {
-            return None;
-        }
         let typical = self.typical();
+        let need = self.need(typical);
         let mut state = self.shared.state();
-        let choice = state
-            .choose(
-                now,
-                &self.admitted.service,
-                &self.need(typical),
-                &self.tried,
-            )
-            .ok()?;
-        let worth = choice
-            .candidate
-            .slowness_percent
-            .is_some_and(|percent| percent < 200.0);
-        if !worth || !state.take_repeat(now, &self.admitted.service) {
+        let slowness = state.slowness(now, self.tried.last()?);
+        self.progress.advance(HEDGE_LOOK, typical, slowness);
+        let here = self.progress.remaining(typical, slowness);
+        if !hedge::pays(here, typical, need.objective_left) {
+            return None;
+        }
+        let service = &self.admitted.service;
+        let choice = state.choose(now, service, &need, &self.tried).ok()?;
+        let there = placement::expected_end(&choice.candidate, typical, &state.tuning.placement);
+        let pays = hedge::pays(here, there, need.objective_left);
+        if !pays || !state.take_repeat(now, service) {
             state.cancel(&choice.id);
             return None;
         }
         drop(state);
         self.hedged = true;
         self.shared.metrics.hedges.inc();
-        tracing::debug!(request = &*self.out.id, target = %choice.id, "hedged");
+        tracing::info!(
+            request = &*self.out.id,
+            target = %choice.id,
+            slowness,
+            expected_here_ms = here.map(millis),
+            expected_there_ms = millis(there),
+            "second attempt"
+        );
         Some(self.start(choice))
     }
 
@@ -254,6 +261,7 @@
         choice: Choice,
     ) -> Pin<Box<dyn Future<Output = Attempted> + Send + 'b>> {
         self.tried.push(choice.id.clone());
+        self.progress = Progress::default();
         let once = self.admitted.route.repeat == Repeat::Never;
         let attempt = super::attempt::run(
             self.shared.clone(),
@@ -498,13 +506,6 @@
     }
 }
 
-async fn sleep_until(at: Option<Instant>) {
-    match at {
-        Some(at) => tokio::time::sleep_until(at.into()).await,
-        None => std::future::pending().await,
-    }
-}
-
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/src/entry/hedge.rs
@@ -0,0 +1,45 @@
+//! When a second attempt beside a running one pays.
+//!
+//! Load pattern: a target becomes several times slower while a request runs there.
+//! Its home's probes tell so within a fraction of the request's time, and another
+//! target may still finish the request within its objective.
+
+use std::time::Duration;
+
+/// Usual times of work after which an attempt counts as stuck: work varies by a third
+/// of its mean.
+const STUCK: f64 = 1.5;
+/// Least part of the work that is taken to remain while an attempt has no answer.
+const LEAST_LEFT: f64 = 0.15;
+
+/// How far an attempt has come, as its target's reported slowness lets expect.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Progress {
+    /// Work done, in units of usual work.
+    done: f64,
+}
+
+impl Progress {
+    /// Notes that `time` has passed at a target that works `slowness` times as long.
+    pub fn advance(&mut self, time: Duration, typical: Duration, slowness: f64) {
+        let usual = typical.as_secs_f64().max(f64::EPSILON);
+        self.done += time.as_secs_f64() / (usual * slowness.max(1.0));
+    }
+
+    /// Expected time until the attempt ends; `None` when it seems stuck.
+    #[must_use]
+    pub fn remaining(&self, typical: Duration, slowness: f64) -> Option<Duration> {
+        let left = (1.0 - self.done).max(LEAST_LEFT);
+        (self.done < STUCK).then(|| typical.mul_f64(left * slowness.max(1.0)))
+    }
+}
+
+/// Whether a second attempt pays: the first is not expected to end within the
+/// objective, and the second, which would end after `there`, is.
+#[must_use]
+pub fn pays(here: Option<Duration>, there: Duration, objective_left: Duration) -> bool {
+    here.is_none_or(|here| here > objective_left) && there <= objective_left
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod directory;
 pub(crate) mod fleet;
 mod forward;
+pub(crate) mod hedge;
 pub(crate) mod load;
 pub(crate) mod members;
 pub(crate) mod message;
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -330,6 +330,14 @@
         Some(choice)
     }
 
+    /// How many times as long work takes at a target, as far as is known.
+    pub(crate) fn slowness(&self, now: Time, id: &TargetId) -> f64 {
+        self.fleet
+            .get(id)
+            .and_then(|view| view.candidate(now, &self.settings.zone).slowness_percent)
+            .map_or(1.0, |percent| percent / 100.0)
+    }
+
     /// Notes that a request to a target ended or was never sent.
     pub(crate) fn cancel(&mut self, id: &TargetId) {
         if let Some(view) = self.fleet.get_mut(id) {
--- a/src/entry/typical.rs
+++ b/src/entry/typical.rs
@@ -1,4 +1,4 @@
-//! The usual time of a route's requests, and when a second attempt pays.
+//! The usual time of a route's requests.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,12 +10,6 @@
 /// Step of the estimate towards one more answer, as a part of it. Equal steps up and
 /// down make it follow the median, which a few slow answers don't move.
 const STEP: f64 = 0.03;
-/// An attempt counts as done within this multiple of the usual time; work varies by a
-/// third of its mean.
-const SPREAD: f64 = 1.5;
-/// An attempt is not given up on before this multiple of the usual time.
-const PATIENCE: f64 = 1.2;
-
 #[derive(Debug, Clone, Copy, Default)]
 struct Estimate {
     seconds: f64,
@@ -52,16 +46,5 @@
     }
 }
 
-/// When a second attempt should be sent, counted from the request's arrival: late
-/// enough that most first attempts have ended, early enough that the second can end
-/// within the latency objective. `None` when there is no such time.
-///
-/// Load pattern: a target becomes several times slower while a request runs there.
-#[must_use]
-pub fn hedge_after(typical: Duration, objective: Duration) -> Option<Duration> {
-    let last = objective.checked_sub(typical.mul_f64(SPREAD))?;
-    (last >= typical.mul_f64(PATIENCE)).then_some(last)
-}
-
 #[cfg(test)]
 mod tests;
