Count repeats against the windows around them, not against half of one

Cause: at Silos a tenth of the idempotent requests wants a second attempt, since their targets slow down under way; the rule of the half window left each instance about three repeats in ten seconds.

Change: a repeat is allowed by the fewest requests that any window holding it can be compared with; 0.85 of the ratio is used.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -237,11 +237,19 @@
         let service = &self.admitted.service;
         let choice = state.choose(now, service, &need, &self.tried).ok()?;
         let there = placement::expected_end(&choice.candidate, typical, &state.tuning.placement);
-        let pays = hedge::pays(here, there, need.objective_left);
-        if !pays || !state.take_repeat(now, service) {
+        if !hedge::pays(here, there, need.objective_left) {
             state.cancel(&choice.id);
             return None;
         }
+        if !state.take_repeat(now, service) {
+            state.cancel(&choice.id);
+            self.hedged = true;
+            tracing::info!(
+                request = &*self.out.id,
+                "no second attempt: the budget is used up"
+            );
+            return None;
+        }
         drop(state);
         self.hedged = true;
         self.shared.metrics.hedges.inc();
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -26,9 +26,12 @@
 use crate::names::{ServiceName, TargetId};
 use crate::units::Time;
 
-/// Instances among which a window's slack is divided beyond those known, for
-/// instances that join or start again within the window.
-const SPARE_INSTANCES: f64 = 2.0;
+/// Times that an instance may use its part of the slack within a window: once, and
+/// once more after it was started again and has forgotten the first.
+const SLACK_TIMES: f64 = 2.0;
+/// Part of the repeat ratio that is used; the rest allows for callers that move to
+/// another instance within a window and so count at both.
+const REPEAT_PART: f64 = 0.85;
 /// Part of a target's connections that all instances together use.
 const CONNECTION_PART: f64 = 0.8;
 /// Connections to a target that an instance has at least.
@@ -240,9 +243,9 @@
 
     fn repeat_rule(&self) -> RepeatRule {
         RepeatRule {
-            ratio: self.settings.repeat_ratio,
+            ratio: self.settings.repeat_ratio * REPEAT_PART,
             window: self.settings.repeat_window,
-            slack: (self.settings.repeat_slack / (self.instances() * SPARE_INSTANCES)).floor(),
+            slack: self.settings.repeat_slack / (self.instances() * SLACK_TIMES),
         }
     }
 
--- a/src/entry/window.rs
+++ b/src/entry/window.rs
@@ -34,13 +34,11 @@
 ///
 /// The bound of all instances in any window is `ratio * requests + slack`, with the
 /// requests of that window, the one before it, or the one half a window before it,
-/// whichever has most. Each instance keeps its repeats of a window within `ratio *
-/// own requests of the last half window + own part of the slack`: those requests lie
-/// whole in one of the three, wherever the window ends, so the sum keeps the bound
-/// without a message.
+/// whichever has most. Each instance keeps its own repeats within `ratio * own
+/// requests + own part of the slack` by the same rule, without a message.
 #[derive(Debug, Clone, Default)]
 pub struct RepeatBudget {
-    requests: Window,
+    requests: VecDeque<Time>,
     repeats: Window,
 }
 
@@ -55,10 +53,14 @@
     pub slack: f64,
 }
 
+/// Cells into which the ends of the windows that hold a repeat are sorted. More cells
+/// waste less of the budget: one part in as many.
+const CELLS: u32 = 20;
+
 impl RepeatBudget {
     /// Notes a caller's request.
     pub fn request(&mut self, now: Time) {
-        self.requests.note(now);
+        self.requests.push_back(now);
     }
 
     /// Takes one repeat if the rule leaves one.
@@ -73,10 +75,41 @@
     /// Repeats that the rule leaves now.
     #[expect(clippy::cast_precision_loss, reason = "counts of a few seconds")]
     pub fn left(&mut self, now: Time, rule: RepeatRule) -> f64 {
-        let requests = self.requests.count(now, rule.window / 2) as f64;
+        let oldest = now.before(rule.window * 2);
+        while self.requests.front().is_some_and(|first| *first < oldest) {
+            self.requests.pop_front();
+        }
+        let requests = self.requests_of_every_window(now, rule.window) as f64;
         let repeats = self.repeats.count(now, rule.window) as f64;
         rule.ratio * requests + rule.slack - repeats
     }
+
+    /// The requests that the rule counts, as far as they are known, for that window
+    /// around a repeat at `now` for which they are fewest.
+    fn requests_of_every_window(&self, now: Time, window: Duration) -> usize {
+        let cell = window / CELLS;
+        (0..CELLS)
+            .map(|number| {
+                let first_end = now.after(cell * number);
+                let last_end = first_end.after(cell);
+                [Duration::ZERO, window / 2, window]
+                    .map(|back| {
+                        let from = last_end.before(window + back);
+                        self.count(from, first_end.before(back).min(now))
+                    })
+                    .into_iter()
+                    .max()
+                    .unwrap_or_default()
+            })
+            .min()
+            .unwrap_or_default()
+    }
+
+    fn count(&self, from: Time, to: Time) -> usize {
+        let end = self.requests.partition_point(|at| *at <= to);
+        let start = self.requests.partition_point(|at| *at < from);
+        end.saturating_sub(start)
+    }
 }
 
 /// Window in which each instance counts its requests to a cold target: the second of
