Tell peers in other zones of news only, and right after the probes

Ruled out: forwarded bodies (1 MB).

Change: a beat follows the probes of its round; peers in other zones get one when a finding would change a choice, or each 400 ms; a beat names one peer instead of four, each fourth time.

--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -15,8 +15,9 @@
 use crate::names::{ServiceName, TargetId, ZoneName};
 use crate::units::Time;
 
-/// Age beyond which a report says nothing about slowness; spells last half a second.
-const REPORT_AGE: Duration = Duration::from_millis(600);
+/// Age beyond which a report says nothing about slowness: two of the seldom beats
+/// between zones, which tell of changes at once.
+const REPORT_AGE: Duration = Duration::from_millis(900);
 /// Time for which a target is left alone after a connection to it was refused or lost.
 const DOWN_FOR: Duration = Duration::from_millis(400);
 /// Time for which a target that lapsed during an outage of the store is kept; live
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -13,6 +13,9 @@
 
 /// Keys of the rendezvous hash; every instance must use the same.
 const HASH_KEYS: (u64, u64) = (0x656e_7472_795f_686f, 0x6d65_5f6f_665f_7461);
+/// Longest time between two beats to an instance in another zone, where bytes are
+/// dear; a third of the silence that counts as gone.
+const FAR_BEAT: Duration = Duration::from_millis(400);
 /// Time between two beats to an instance that is not heard.
 const SILENT_BEAT: Duration = Duration::from_secs(1);
 
@@ -130,25 +133,33 @@
             .map(|(address, member)| (*address, member))
     }
 
-    /// The instances that are due a beat, which is noted as sent.
-    pub fn beat_targets(&mut self, now: Time) -> Vec<SocketAddr> {
-        let silence = self.silence;
-        self.known
-            .iter_mut()
-            .filter_map(|(address, member)| {
-                let live = member
-                    .heard_at
-                    .is_some_and(|heard| now.since(heard) < silence);
-                let due = live
-                    || member
-                        .beat_at
-                        .is_none_or(|beat| now.since(beat) >= SILENT_BEAT);
-                due.then(|| {
-                    member.beat_at = Some(now);
-                    *address
-                })
-            })
-            .collect()
+    /// The instances that are due a beat, which is noted as sent, in `zone` and
+    /// elsewhere. Those elsewhere are due one when there is news, or regularly; the
+    /// silent ones seldom.
+    pub fn beat_targets(
+        &mut self,
+        now: Time,
+        zone: &ZoneName,
+        is_news: bool,
+    ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let (mut near, mut far) = (Vec::new(), Vec::new());
+        for (address, member) in &mut self.known {
+            let live = member
+                .heard_at
+                .is_some_and(|heard| now.since(heard) < self.silence);
+            let is_near = member.zone == *zone;
+            let pause = match (live, is_near) {
+                (false, _) => SILENT_BEAT,
+                (true, true) => Duration::ZERO,
+                (true, false) if is_news => Duration::ZERO,
+                (true, false) => FAR_BEAT,
+            };
+            if member.beat_at.is_none_or(|beat| now.since(beat) >= pause) {
+                member.beat_at = Some(now);
+                if is_near { &mut near } else { &mut far }.push(*address);
+            }
+        }
+        (near, far)
     }
 
     /// Whether this instance is the one that probes a target, as far as it knows.
--- a/src/entry/message.rs
+++ b/src/entry/message.rs
@@ -17,8 +17,6 @@
 pub const MAX_DATAGRAM: usize = 1400;
 /// Most reports in one beat, so that it stays below [`MAX_DATAGRAM`].
 pub const MAX_REPORTS: usize = 40;
-/// Most members named in one beat.
-pub const MAX_NAMED: usize = 4;
 /// Most cases of the quarantine in one beat.
 pub const MAX_CASES: usize = 8;
 /// Largest frame read over TCP: a whole configuration and all targets.
@@ -50,6 +48,29 @@
     pub age_ms: u16,
 }
 
+/// Change of slowness, as a factor, that peers in other zones are told at once.
+const SLOWNESS_STEP: f64 = 1.3;
+
+impl Finding {
+    /// Whether peers in other zones should learn of this before their next regular
+    /// beat, when `told` is what they know.
+    #[must_use]
+    pub fn is_news(&self, told: &Self) -> bool {
+        let slowness = |finding: &Self| {
+            finding
+                .load
+                .map_or(100.0, |load| f64::from(load.slowness_percent.max(1)))
+        };
+        let occupied = |finding: &Self| finding.load.map_or(0, |load| load.running + load.waiting);
+        let slots = self.load.map_or(1, |load| load.slots.max(1));
+        let ratio = slowness(self) / slowness(told);
+        self.health != told.health
+            || (self.cold_ms == 0) != (told.cold_ms == 0)
+            || !(SLOWNESS_STEP.recip()..=SLOWNESS_STEP).contains(&ratio)
+            || occupied(self).abs_diff(occupied(told)) * 2 >= slots
+    }
+}
+
 /// A regular sign of life.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
@@ -59,8 +80,8 @@
     pub standing: Standing,
     /// What it found out about the targets that it looks after.
     pub findings: Vec<Finding>,
-    /// Some instances that it knows, with their zones.
-    pub members: Vec<(SocketAddr, ZoneName)>,
+    /// An instance that it knows, now and then, with its zone.
+    pub member: Option<(SocketAddr, ZoneName)>,
     /// Requests that it holds to crash targets.
     pub cases: Vec<Case>,
 }
@@ -94,3 +115,6 @@
 pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, postcard::Error> {
     postcard::from_bytes(bytes)
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -8,24 +8,31 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use super::message::{self, Beat, MAX_DATAGRAM, MAX_FRAME, Question, Reply};
+use super::probe::Probes;
 use super::replica::Delta;
 use super::shared::Shared;
 use crate::units::Time;
 
+/// Time that most probes take; the beat waits for it, so that findings are told fresh.
+const PROBE_WAIT: Duration = Duration::from_millis(12);
 /// Time for a question to a peer, its answer included.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time by which the own watch or a peer in the own zone may be later than others,
 /// before a peer in another zone is asked: bytes between zones are dear.
 const PATIENCE: Duration = Duration::from_millis(150);
 
-/// Sends a beat to every peer once a tick, until the process ends.
-pub(crate) async fn send_beats(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
-    let beat = shared.state().tuning.beat;
-    let mut tick = tokio::time::interval(beat);
+/// Probes, tells the findings to peers, and forgets what is old, once a beat until
+/// the process ends.
+pub(crate) async fn beat(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let period = shared.state().tuning.beat;
+    let mut tick = tokio::time::interval(period);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut probes = Probes::new(&shared);
     loop {
         tick.tick().await;
-        send_beat(&shared, &socket);
+        probes.start_round();
+        tokio::time::sleep(PROBE_WAIT).await;
+        send_beat(&shared, &socket, false);
         let now = shared.now();
         let gone = {
             let mut state = shared.state();
@@ -40,14 +47,10 @@
     }
 }
 
-/// Sends a beat to every peer that is due one.
-pub(crate) fn send_beat(shared: &Shared, socket: &UdpSocket) {
+/// Sends a beat to every peer that is due one, or to all.
+pub(crate) fn send_beat(shared: &Shared, socket: &UdpSocket, all: bool) {
     let now = shared.now();
-    let (beat, peers) = {
-        let mut state = shared.state();
-        let peers = state.members.beat_targets(now);
-        (state.beat(now), peers)
-    };
+    let (beat, peers) = shared.state().beat(now, all);
     let bytes = match message::encode(&beat) {
         Ok(bytes) => bytes,
         Err(err) => {
--- a/src/entry/probe.rs
+++ b/src/entry/probe.rs
@@ -11,44 +11,59 @@
 use crate::http1::client::{Answer, Conn, Outgoing};
 use crate::names::TargetId;
 use crate::platform::prepared::wire;
+use crate::units::Time;
 
 /// Largest body of a health check's answer, in bytes.
 const MAX_ANSWER: usize = 64 << 10;
 
+/// The probes of one instance.
+#[derive(Debug)]
+pub(crate) struct Probes {
+    shared: Arc<Shared>,
+    open: Arc<Open>,
+    limit: Duration,
+    least: Duration,
+    last: Option<Time>,
+}
+
 /// Connections for probes, one a target, and the probes that run.
 #[derive(Debug, Default)]
-struct Probes {
+struct Open {
     conns: Mutex<IndexMap<TargetId, Conn>>,
     running: Mutex<IndexSet<TargetId>>,
 }
 
-/// Probes every own target once a beat, until the process ends.
-pub(crate) async fn run(shared: Arc<Shared>) {
-    let (beat, limit, max_rate) = {
+impl Probes {
+    pub(crate) fn new(shared: &Arc<Shared>) -> Self {
         let state = shared.state();
-        let tuning = &state.tuning;
-        (
-            tuning.beat,
-            tuning.probe_timeout,
-            state.settings.max_probe_rate,
-        )
-    };
-    // Half the bound: while views of the members differ, a target may have two homes.
-    let least = Duration::from_secs_f64(2.0 / max_rate.max(1.0));
-    let probes = Arc::new(Probes::default());
-    let mut tick = tokio::time::interval(beat.max(least));
-    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        tick.tick().await;
-        let now = shared.now();
-        let targets = shared.state().own_targets(now);
-        probes.forget_others(&targets);
+        // Half the bound: while views of the members differ, a target may have two homes.
+        let least = Duration::from_secs_f64(2.0 / state.settings.max_probe_rate.max(1.0));
+        let limit = state.tuning.probe_timeout;
+        drop(state);
+        Self {
+            shared: shared.clone(),
+            open: Arc::default(),
+            limit,
+            least,
+            last: None,
+        }
+    }
+
+    /// Begins to probe every own target that is not being probed already.
+    pub(crate) fn start_round(&mut self) {
+        let now = self.shared.now();
+        if self.last.is_some_and(|last| now.since(last) < self.least) {
+            return;
+        }
+        self.last = Some(now);
+        let targets = self.shared.state().own_targets(now);
+        self.open.forget_others(&targets);
         for (id, address, path) in targets {
-            if probes.begin(&id) {
-                let (shared, probes) = (shared.clone(), probes.clone());
+            if self.open.begin(&id) {
+                let (shared, open, limit) = (self.shared.clone(), self.open.clone(), self.limit);
                 tokio::spawn(async move {
-                    probe(&shared, &probes, &id, address, &path, limit).await;
-                    probes.end(&id);
+                    probe(&shared, &open, &id, address, &path, limit).await;
+                    open.end(&id);
                 });
             }
         }
@@ -57,7 +72,7 @@
 
 async fn probe(
     shared: &Shared,
-    probes: &Probes,
+    open: &Open,
     id: &TargetId,
     address: SocketAddr,
     path: &str,
@@ -67,7 +82,7 @@
         return;
     };
     shared.metrics.probes.inc();
-    let conn = probes.take(id);
+    let conn = open.take(id);
     let asked = tokio::time::timeout(limit, ask(conn, address, path, limit)).await;
     let (answer, conn) = match asked {
         Ok(Ok((answer, conn))) => (Some(answer), Some(conn)),
@@ -83,7 +98,7 @@
         tracing::info!(target_id = %id, %address, health = ?finding.health, "health changed");
     }
     if let Some(conn) = conn.filter(Conn::is_reusable) {
-        probes.put(id.clone(), conn);
+        open.put(id.clone(), conn);
     }
 }
 
@@ -136,7 +151,7 @@
     finding
 }
 
-impl Probes {
+impl Open {
     fn begin(&self, id: &TargetId) -> bool {
         let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
         running.insert(id.clone())
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -15,7 +15,7 @@
 use super::settings::{EntrySettings, Tuning};
 use super::shared::Shared;
 use super::state::State;
-use super::{control, forward, peers, probe, reload, sync};
+use super::{control, forward, peers, reload, sync};
 use crate::error::Error;
 use crate::http1::server::{self, Bounds, Reply, Request, Service, Stop};
 use crate::units::Clock;
@@ -62,12 +62,11 @@
     let open = Arc::new(AtomicUsize::new(0));
     let socket = Arc::new(listeners.datagrams);
     tokio::spawn(peers::receive_beats(shared.clone(), socket.clone()));
-    tokio::spawn(peers::send_beats(shared.clone(), socket.clone()));
+    tokio::spawn(peers::beat(shared.clone(), socket.clone()));
     tokio::spawn(peers::answer_questions(shared.clone(), listeners.questions));
     tokio::spawn(peers::follow(shared.clone()));
     tokio::spawn(sync::run(shared.clone()));
     tokio::spawn(sync::register(shared.clone()));
-    tokio::spawn(probe::run(shared.clone()));
     tokio::spawn(reload::run(shared.clone(), path.to_owned()));
     listen_callers(&shared, listeners.callers, &stop, &open);
     listen_control(&shared, listeners.readiness, &stop, control::readiness);
@@ -246,7 +245,7 @@
         state.standing.leaving = true;
     }
     stop.send_replace(Stop::Leaving);
-    peers::send_beat(shared, socket);
+    peers::send_beat(shared, socket, true);
     tracing::info!(
         open = open.load(Ordering::Relaxed),
         "stopping: left the directory"
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -57,8 +57,8 @@
     /// Time between two beats to peers and between two probes of a target; the
     /// figures of a target change several times a second.
     pub beat: Duration,
-    /// Silence after which a peer counts as gone: ten beats, so that loss of a few
-    /// datagrams in a hundred takes nobody out.
+    /// Silence after which a peer counts as gone: three of the seldom beats between
+    /// zones, so that loss of a few datagrams in a hundred takes nobody out.
     pub peer_silence: Duration,
     /// Time after which a registered instance that was never heard is forgotten.
     pub peer_forget: Duration,
@@ -87,7 +87,7 @@
     fn default() -> Self {
         Self {
             beat: Duration::from_millis(100),
-            peer_silence: Duration::from_secs(1),
+            peer_silence: Duration::from_millis(1300),
             peer_forget: Duration::from_secs(60),
             watchers: 4,
             watch_wait: Duration::from_secs(4),
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -13,7 +13,7 @@
 use super::directory::{self, Entry};
 use super::fleet::{Fleet, Unusable, View};
 use super::members::{Members, Standing};
-use super::message::{Beat, Finding, Health, MAX_CASES, MAX_NAMED, MAX_REPORTS};
+use super::message::{Beat, Finding, Health, MAX_CASES, MAX_REPORTS};
 use super::model::{CallerBounds, Record, Route};
 use super::placement::{self, Candidate, Need};
 use super::replica::{Applied, Delta, Replica};
@@ -23,7 +23,7 @@
 use super::waiting::Line;
 use super::window::{RepeatBudget, RepeatRule, cold_allowance};
 use crate::dispatch::quarantine::{Quarantine, QuarantineSettings};
-use crate::names::{ServiceName, TargetId};
+use crate::names::{ServiceName, TargetId, ZoneName};
 use crate::units::Time;
 
 /// Times that an instance may use its part of the slack within a window: once, and
@@ -47,6 +47,11 @@
 /// Time after an outage in which removals may be lapses.
 const OUTAGE_ECHO: Duration = Duration::from_secs(3);
 
+/// Beats of which one names a peer; a newcomer is named to all within some seconds.
+const NAME_EVERY: usize = 4;
+/// Age up to which an own finding is told.
+const FINDING_AGE: Duration = Duration::from_millis(500);
+
 /// Everything that the instance believes.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -68,14 +73,16 @@
     pub typical: Typical,
     /// What it says of itself.
     pub standing: Standing,
-    /// Findings to tell peers with the next beat.
-    pub findings: Vec<(Time, Finding)>,
+    /// Findings of its own probes, newest last.
+    findings: IndexMap<u64, (Time, Finding)>,
+    /// What peers in other zones were told of them.
+    told_far: IndexMap<u64, Finding>,
+    beats: usize,
     budgets: IndexMap<ServiceName, RepeatBudget>,
     dealers: IndexMap<Arc<str>, Dealer>,
     /// Requests that wait for room, by service.
     pub waiting: IndexMap<ServiceName, Line>,
     registered: IndexMap<Arc<str>, SocketAddr>,
-    named: usize,
     started: Time,
     watched_at: Time,
     outage_until: Time,
@@ -147,12 +154,13 @@
             members,
             quarantine,
             typical: Typical::default(),
-            findings: Vec::new(),
+            findings: IndexMap::new(),
+            told_far: IndexMap::new(),
+            beats: 0,
             budgets: IndexMap::new(),
             dealers: IndexMap::new(),
             waiting: IndexMap::new(),
             registered: IndexMap::new(),
-            named: 0,
             started: now,
             watched_at: now,
             outage_until: Time::ZERO,
@@ -403,7 +411,7 @@
     pub(crate) fn note_probe(&mut self, now: Time, finding: Finding) {
         self.fleet.note_finding(now, &finding);
         self.note_if_dead(now, &finding);
-        self.findings.push((now, finding));
+        self.findings.insert(finding.target, (now, finding));
     }
 
     /// Charges the death of a target that can't be reached to the requests that broke
@@ -425,36 +433,52 @@
         }
     }
 
-    /// The next beat to peers.
-    pub(crate) fn beat(&mut self, now: Time) -> Beat {
-        let findings = std::mem::take(&mut self.findings);
-        let findings = findings
-            .into_iter()
+    /// The next beat, and the peers that get it. In `all`, every live peer gets it.
+    pub(crate) fn beat(&mut self, now: Time, all: bool) -> (Beat, Vec<SocketAddr>) {
+        self.findings
+            .retain(|_, (at, _)| now.since(*at) < FINDING_AGE);
+        let is_news = all
+            || self.findings.values().any(|(_, finding)| {
+                self.told_far
+                    .get(&finding.target)
+                    .is_none_or(|told| finding.is_news(told))
+            });
+        let zone = self.settings.zone.clone();
+        let (near, far) = self.members.beat_targets(now, &zone, is_news);
+        if !far.is_empty() {
+            let told = self.findings.values().map(|(_, told)| (told.target, *told));
+            self.told_far = told.collect();
+        }
+        let findings = self
+            .findings
+            .values()
             .rev()
             .take(MAX_REPORTS)
             .map(|(at, finding)| Finding {
-                age_ms: u16::try_from(now.since(at).as_millis()).unwrap_or(u16::MAX),
-                ..finding
+                age_ms: u16::try_from(now.since(*at).as_millis()).unwrap_or(u16::MAX),
+                ..*finding
             })
             .collect();
-        let known: Vec<_> = self
-            .members
-            .live(now)
-            .map(|(address, member)| (address, member.zone.clone()))
-            .collect();
-        let count = known.len().min(MAX_NAMED);
-        let start = self.named;
-        self.named = self.named.wrapping_add(count);
-        let members = (0..count)
-            .map(|offset| known[(start + offset) % known.len()].clone())
-            .collect();
-        Beat {
-            zone: self.settings.zone.clone(),
+        self.beats += 1;
+        let beat = Beat {
+            zone,
             standing: self.standing.clone(),
             findings,
-            members,
+            member: self.name_member(now),
             cases: self.quarantine.cases(now).take(MAX_CASES).collect(),
+        };
+        (beat, [near, far].concat())
+    }
+
+    /// Every few beats, one of the live peers, each in turn.
+    fn name_member(&self, now: Time) -> Option<(SocketAddr, ZoneName)> {
+        if !self.beats.is_multiple_of(NAME_EVERY) {
+            return None;
         }
+        let live: Vec<_> = self.members.live(now).collect();
+        let index = (self.beats / NAME_EVERY).checked_rem(live.len())?;
+        let (address, member) = live.get(index)?;
+        Some((*address, member.zone.clone()))
     }
 
     /// Takes in a peer's beat.
@@ -462,7 +486,7 @@
         if self.members.heard(now, from, beat) {
             tracing::info!(peer = %from, zone = %beat.zone, "peer is live");
         }
-        for (address, zone) in &beat.members {
+        if let Some((address, zone)) = &beat.member {
             self.members.introduce(now, *address, zone);
         }
         for finding in &beat.findings {
