--- a/src/entry/hedge.rs
+++ b/src/entry/hedge.rs
@@ -28,7 +28,7 @@
 
     /// Expected time until the attempt ends; `None` when it seems stuck.
     #[must_use]
-    pub fn remaining(&self, typical: Duration, slowness: f64) -> Option<Duration> {
+    pub fn remaining(self, typical: Duration, slowness: f64) -> Option<Duration> {
         let left = (1.0 - self.done).max(LEAST_LEFT);
         (self.done < STUCK).then(|| typical.mul_f64(left * slowness.max(1.0)))
     }
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -283,3 +283,6 @@
     }
     out
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/platform/prepared/store/tests.rs
@@ -0,0 +1,136 @@
+use std::fmt::Write;
+use std::sync::Arc;
+
+use prometheus::{IntCounterVec, Opts};
+use standin::prepared::store::{Faults, Mode, StoreStandin};
+
+use super::*;
+use crate::entry::model::Record;
+
+/// Wait of a watch that is not meant to end by itself.
+const WAIT: Duration = Duration::from_secs(5);
+
+async fn setup() -> (StoreStandin, StoreClient) {
+    let store = StoreStandin::start().await.unwrap();
+    let calls = IntCounterVec::new(Opts::new("calls", "calls"), &["kind"]).unwrap();
+    let client = StoreClient::new(store.address(), Arc::new(calls));
+    (store, client)
+}
+
+fn target(zone: &str) -> Vec<u8> {
+    json!({
+        "service": "s", "address": "10.0.0.9:8080", "zone": zone, "slots": 6,
+        "state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1,
+    })
+    .to_string()
+    .into_bytes()
+}
+
+fn keys(reading: &Reading) -> Vec<&str> {
+    reading.changes.iter().map(|change| &*change.key).collect()
+}
+
+#[tokio::test]
+async fn everything_is_read_page_by_page() {
+    let (store, mut client) = setup().await;
+    for number in 0..120 {
+        store.put(&format!("servers/t{number:03}"), &target("a"));
+    }
+    let reading = client.read_all().await.unwrap();
+    assert_eq!(reading.changes.len(), 120);
+    assert_eq!(reading.revision, 120);
+    assert_eq!(store.calls("kv-range"), 3);
+}
+
+#[tokio::test]
+async fn a_watch_tells_changes_and_removals_after_a_revision() {
+    let (store, mut client) = setup().await;
+    store.put("servers/one", &target("a"));
+    let from = client.read_all().await.unwrap().revision;
+    store.put("servers/two", &target("a"));
+    store.remove("servers/one");
+    let reading = client.watch(from, WAIT).await.unwrap();
+    assert_eq!(keys(&reading), ["servers/two", "servers/one"]);
+    assert!(reading.changes[0].record.is_some());
+    assert_eq!(reading.changes[1].record, None);
+    assert_eq!(reading.revision, from + 2);
+}
+
+#[tokio::test]
+async fn a_record_that_cannot_be_used_counts_as_removed_and_hurts_no_other() {
+    let (store, mut client) = setup().await;
+    store.put("servers/bad", b"\xff");
+    store.put("servers/good", &target("a"));
+    store.put("elsewhere", b"x");
+    let reading = client.read_all().await.unwrap();
+    let usable: Vec<_> = reading
+        .changes
+        .iter()
+        .filter(|change| matches!(change.record, Some(Record::Target(_))))
+        .map(|change| &*change.key)
+        .collect();
+    assert_eq!(usable, ["servers/good"]);
+    assert_eq!(keys(&reading).len(), 2);
+}
+
+/// What a read, a lease and a renewal come to under each fault, and after it.
+#[tokio::test]
+async fn faults_are_told_apart_and_leave_the_client_usable() {
+    let cases = [
+        ("serving", Mode::Serving),
+        ("busy", Mode::Refusing(503)),
+        ("too many calls", Mode::Refusing(429)),
+        ("reset", Mode::Resetting),
+        ("silent", Mode::Silent),
+    ];
+    let mut seen = String::new();
+    for (name, mode) in cases {
+        let (store, mut client) = setup().await;
+        let lease = client.grant(WAIT).await.unwrap();
+        store.faults.set(Faults {
+            mode,
+            ..Faults::default()
+        });
+        let read = kind(&client.read_all().await);
+        let renewed = kind(&client.renew(lease).await);
+        store.faults.set(Faults::default());
+        let after = kind(&client.renew(lease).await);
+        writeln!(seen, "{name}: read {read}, renewal {renewed}; then {after}").unwrap();
+    }
+    insta::assert_snapshot!(seen);
+}
+
+fn kind<T>(result: &Result<T, StoreError>) -> &'static str {
+    match result {
+        Ok(_) => "done",
+        Err(StoreError::Refused(_)) => "refused",
+        Err(StoreError::Gone) => "gone",
+        Err(StoreError::Conflict) => "conflict",
+        Err(StoreError::Unknown(_)) => "unknown",
+        Err(StoreError::Malformed(_)) => "malformed",
+    }
+}
+
+#[tokio::test]
+async fn a_write_whose_answer_was_lost_is_unknown_and_may_be_repeated() {
+    let (store, mut client) = setup().await;
+    let lease = client.grant(WAIT * 10).await.unwrap();
+    store.faults.change(|faults| faults.lost_answers = 1);
+    assert_eq!(kind(&client.put("k", b"v", lease).await), "unknown");
+    assert_eq!(store.keys(), ["k"]);
+    assert_eq!(kind(&client.put("k", b"v", lease).await), "done");
+    assert_eq!(store.keys(), ["k"]);
+}
+
+#[tokio::test]
+async fn an_ended_lease_and_forgotten_history_are_gone() {
+    let (store, mut client) = setup().await;
+    let lease = client.grant(WAIT * 10).await.unwrap();
+    client.put("k", b"v", lease).await.unwrap();
+    store.end_leases();
+    assert_eq!(kind(&client.renew(lease).await), "gone");
+    assert_eq!(kind(&client.put("k", b"v", lease).await), "gone");
+    assert!(store.keys().is_empty());
+    store.compact();
+    assert_eq!(kind(&client.watch(1, WAIT).await), "gone");
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod list;
 pub mod platform;
+pub mod prepared;
 mod socket;
 pub mod store;
 pub mod target;
--- /dev/null
+++ b/standin/src/prepared/mod.rs
@@ -0,0 +1,4 @@
+//! Stand-ins for the users' prepared platform: its store and its targets.
+
+pub mod store;
+pub mod target;
