Keep targets whose entries lapse together with the store

Cause: a watch that waits through a silent outage notices nothing, so that the removals it hears afterwards counted as departures: with all entries of a service gone, every request was refused for the two seconds until they are back (test, 503). Ruled out: the grace for lapses itself, which held where the outage was noticed.

Change: when half of a service's targets or more are removed at once, and two at least, they count as lapsed. The test failed first.

--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -9,8 +9,9 @@
 use super::load::{Load, Report};
 use super::members::target_key;
 use super::message::{Finding, Health};
-use super::model::Target;
+use super::model::{Record, Target};
 use super::placement::Candidate;
+use super::replica::Applied;
 use super::window::{COLD_OWN_WINDOW, Window};
 use crate::names::{ServiceName, TargetId, ZoneName};
 use crate::units::Time;
@@ -23,6 +24,8 @@
 /// Time for which a target that lapsed during an outage of the store is kept; live
 /// targets register again within two seconds of its return.
 const LAPSED_FOR: Duration = Duration::from_millis(2200);
+/// Fewest targets of a service that lapse together; one alone may just leave.
+const LAPSED_LEAST: usize = 2;
 /// Weight of one more outcome in a target's share of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
 /// Time in which a share of failures halves when nothing is sent.
@@ -265,6 +268,27 @@
         self.views.insert(view.target.id.clone(), view);
     }
 
+    /// The services of which half of the targets or more are removed at once: their
+    /// entries lapsed while the store was away, since targets leave a few at a time.
+    #[must_use]
+    pub fn lapsed_services(&self, changes: &[Applied]) -> IndexSet<ServiceName> {
+        let mut removed: IndexMap<&ServiceName, usize> = IndexMap::new();
+        for change in changes {
+            if let Applied::Removed(_, Record::Target(target)) = change {
+                *removed.entry(&target.service).or_default() += 1;
+            }
+        }
+        let present = |service: &ServiceName| {
+            let of_service = self.views().filter(|view| view.target.service == *service);
+            of_service.filter(|view| view.gone_at.is_none()).count()
+        };
+        removed
+            .into_iter()
+            .filter(|(service, count)| *count >= LAPSED_LEAST && count * 2 >= present(service))
+            .map(|(service, _)| service.clone())
+            .collect()
+    }
+
     /// Takes in a removal. One that came while the store was away may be a lapse of
     /// a live target, which then is kept for a moment.
     pub fn remove(&mut self, now: Time, id: &TargetId, lapsed: bool) {
--- a/src/entry/fleet/tests.rs
+++ b/src/entry/fleet/tests.rs
@@ -141,3 +141,23 @@
     );
     assert_eq!(fleet.get(&"t".into()).unwrap().in_flight, 0);
 }
+
+#[test]
+fn half_of_a_services_targets_removed_at_once_have_lapsed() {
+    let mut fleet = Fleet::default();
+    let targets: Vec<_> = (0..5).map(|number| target(&format!("t{number}"))).collect();
+    for target in &targets {
+        fleet.put(NOW, target.clone());
+    }
+    let removed = |count: usize| -> Vec<Applied> {
+        targets[..count]
+            .iter()
+            .map(|target| Applied::Removed("key".into(), Record::Target(target.clone())))
+            .collect()
+    };
+    assert!(fleet.lapsed_services(&removed(2)).is_empty());
+    assert_eq!(fleet.lapsed_services(&removed(3)).len(), 1);
+    let mut pair = Fleet::default();
+    pair.put(NOW, target("t0"));
+    assert!(pair.lapsed_services(&removed(1)).is_empty());
+}
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -177,8 +177,15 @@
     /// Takes in changes of the store; returns whether anything changed.
     pub(crate) fn apply(&mut self, now: Time, delta: Delta, source: &str) -> bool {
         let applied = self.replica.apply(delta);
-        let lapsed = now < self.outage_until;
+        let after_outage = now < self.outage_until;
+        let lapsed_services = self.fleet.lapsed_services(&applied);
         for change in &applied {
+            let lapsed = match change {
+                Applied::Removed(_, Record::Target(target)) => {
+                    after_outage || lapsed_services.contains(&target.service)
+                }
+                _ => false,
+            };
             log_change(change, self.replica.revision(), source, lapsed);
             self.apply_one(now, change, lapsed);
         }
--- a/standin/src/prepared/store.rs
+++ b/standin/src/prepared/store.rs
@@ -123,6 +123,16 @@
         });
     }
 
+    /// Removes every item whose key begins with `prefix`, at once.
+    pub fn remove_all(&self, prefix: &str) {
+        self.shared.write(|tables| {
+            let held = tables.items.keys().filter(|key| key.starts_with(prefix));
+            for key in held.cloned().collect::<Vec<_>>() {
+                tables.remove(&key);
+            }
+        });
+    }
+
     /// Forgets the history, so that older watches must read again.
     pub fn compact(&self) {
         self.shared.write(|tables| {
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -157,3 +157,30 @@
     let answer = world.get(0, "/safe/x", "after").await;
     assert_eq!(answer.status, 200);
 }
+
+#[tokio::test]
+async fn targets_whose_entries_lapse_together_are_used_while_they_answer() {
+    let world = World::start(2, 3).await;
+    world.store.remove_all("servers/");
+    world.until_logged(0, "record removed", 3).await;
+    let answer = world.get(0, "/safe/x", "lapsed").await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    for number in 0..3 {
+        world.put_target(number, false);
+    }
+    // Longer than a lapsed entry is kept.
+    tokio::time::sleep(Duration::from_millis(2600)).await;
+    let answer = world.get(0, "/safe/x", "back").await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
+
+#[tokio::test]
+async fn a_single_target_that_is_removed_gets_nothing_more() {
+    let world = World::start(1, 3).await;
+    world.remove_target(0);
+    world.until_logged(0, "record removed", 1).await;
+    for number in 0..10 {
+        let answer = world.get(0, "/safe/x", &format!("r-{number}")).await;
+        assert!(!answer.body.starts_with("t0 ran"), "{answer:?}");
+    }
+}
--- a/tests/entry_world/mod.rs
+++ b/tests/entry_world/mod.rs
@@ -208,6 +208,11 @@
         self.store.put(&key, &target.entry("a", leaving));
     }
 
+    pub fn remove_target(&self, number: usize) {
+        let id = &self.targets[number].id;
+        self.store.remove(&format!("servers/{id}"));
+    }
+
     pub fn behave(&self, behaviour: Behaviour) {
         for target in &self.targets {
             target.state.change(|state| state.behaviour = behaviour);
