Make fewer calls to the store, and read afresh after a gap of its history

Change: only the first read may be stale; an instance registers once, without a lease, and the first live instance removes registrations silent for half an hour; a watch waits 10 s and ends when peers have heard more for 0.7 s.

Connections were closed at 0.6 of the grace, so that a request taken after half of it could be cut at its end; now at 0.47, with directory answers kept 1 s.

--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -16,6 +16,9 @@
 /// Longest time between two beats to an instance in another zone, where bytes are
 /// dear; a third of the silence that counts as gone.
 const FAR_BEAT: Duration = Duration::from_millis(400);
+/// Silence after which an instance's registration is removed from the store; regions
+/// lose each other for minutes, and a removal too early costs a write.
+const REMOVE_AFTER: Duration = Duration::from_secs(30 * 60);
 /// Time between two beats to an instance that is not heard.
 const SILENT_BEAT: Duration = Duration::from_secs(1);
 
@@ -193,6 +196,22 @@
             .count()
     }
 
+    /// Whether this instance comes first in the order of watchers among the live ones.
+    #[must_use]
+    pub fn is_first(&self, now: Time) -> bool {
+        let own = watch_weight(self.own);
+        self.live(now)
+            .all(|(address, _)| watch_weight(address) < own)
+    }
+
+    /// Whether an instance other than this one has not been heard for long.
+    #[must_use]
+    pub fn is_long_silent(&self, now: Time, address: SocketAddr) -> bool {
+        self.known.get(&address).is_some_and(|member| {
+            now.since(member.heard_at.unwrap_or(member.known_since)) >= REMOVE_AFTER
+        })
+    }
+
     /// Whether any live instance watches the store.
     #[must_use]
     pub fn anyone_watches(&self, now: Time) -> bool {
--- a/src/entry/replica.rs
+++ b/src/entry/replica.rs
@@ -70,6 +70,12 @@
         self.content
     }
 
+    /// Revision of a key's record; `None` when there is none.
+    #[must_use]
+    pub fn revision_of(&self, key: &str) -> Option<u64> {
+        self.entries.get(key).map(|entry| entry.revision)
+    }
+
     /// The configuration in force.
     #[must_use]
     pub fn configuration(&self) -> Option<&Arc<Configuration>> {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -18,13 +18,15 @@
 use super::{control, forward, peers, reload, sync};
 use crate::error::Error;
 use crate::http1::server::{self, Bounds, Reply, Request, Service, Stop};
+use crate::observe::lines;
 use crate::units::Clock;
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
-/// Part of the grace after which idle connections are closed and no new ones taken;
-/// callers have seen new directory answers by then.
-const CLOSE_PART: f64 = 0.6;
+/// Part of the grace after which idle connections are closed and no new ones taken.
+/// Callers have seen new directory answers by then, and what was taken before has
+/// half of the grace to end.
+const CLOSE_PART: f64 = 0.47;
 /// Part of the grace after which the process ends whatever still runs.
 const END_PART: f64 = 0.93;
 /// Time between two looks at whether all connections have ended.
@@ -257,4 +259,5 @@
         tokio::time::sleep(LOOK).await;
     }
     tracing::info!(open = open.load(Ordering::Relaxed), "stopped");
+    lines::flush();
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -29,8 +29,6 @@
     pub first_start: bool,
     /// The platform's store.
     pub store: SocketAddr,
-    /// Shortest lease that the store grants.
-    pub min_lease: Duration,
     /// Time from SIGTERM to the end.
     pub grace: Duration,
     /// Time within which a leaving target gets no more requests.
@@ -65,15 +63,14 @@
     /// Instances that watch the store for all; four, so that cuts of a third of the
     /// instances leave one nearly always.
     pub watchers: usize,
-    /// Longest wait of a watch.
+    /// Longest wait of a watch; each ends as a call. One that has gone silent is found
+    /// by the other watchers.
     pub watch_wait: Duration,
     /// Time in which changes are gathered before the next watch; a fraction of the
     /// bound for a configuration to be in force.
     pub gather: Duration,
-    /// Time that this instance's registration outlives it.
-    pub lease: Duration,
-    /// How long callers keep a directory answer; a third of the grace of a stop,
-    /// since some keep it three times as long.
+    /// How long callers keep a directory answer. Some keep it three times as long, and
+    /// should know of a stop before connections are closed, at half of its grace.
     pub directory_ttl: Duration,
     /// Time for a health check.
     pub probe_timeout: Duration,
@@ -90,10 +87,9 @@
             peer_silence: Duration::from_millis(1300),
             peer_forget: Duration::from_secs(60),
             watchers: 4,
-            watch_wait: Duration::from_secs(4),
+            watch_wait: Duration::from_secs(10),
             gather: Duration::from_millis(250),
-            lease: Duration::from_secs(60),
-            directory_ttl: Duration::from_millis(1500),
+            directory_ttl: Duration::from_secs(1),
             probe_timeout: Duration::from_millis(250),
             connect_timeout: Duration::from_millis(250),
             placement: super::placement::PlacementSettings::default(),
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -221,6 +221,11 @@
         }
     }
 
+    /// The registered instances by their keys.
+    pub(crate) fn registered(&self) -> impl Iterator<Item = (&Arc<str>, SocketAddr)> {
+        self.registered.iter().map(|(key, address)| (key, *address))
+    }
+
     /// Notes whether anyone watches the store, to tell lapses from departures.
     pub(crate) fn note_watching(&mut self, now: Time) {
         let watched = self.standing.watching || self.members.anyone_watches(now);
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -9,7 +9,7 @@
 use super::replica::Delta;
 use super::shared::Shared;
 use crate::platform::prepared::record;
-use crate::platform::prepared::store::{Reading, StoreClient, StoreError};
+use crate::platform::prepared::store::{ReadAge, Reading, StoreClient, StoreError};
 
 /// Time between two looks at whether this instance should watch.
 const LOOK: Duration = Duration::from_millis(100);
@@ -17,8 +17,11 @@
 const STEP_IN: Duration = Duration::from_millis(300);
 /// Time after a failed call before the next, doubled each time up to the longest.
 const RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(1200));
-/// Part of a lease after which it is renewed.
-const RENEW_PART: f64 = 0.3;
+/// Time between two looks for registrations of instances that are gone.
+const CLEAN_EVERY: Duration = Duration::from_secs(60);
+/// Time by which a peer's watch may hear more than this one's before this one counts
+/// as deaf; batches are gathered for a fraction of it.
+const DEAF_AFTER: Duration = Duration::from_millis(700);
 
 /// Waits between failed calls, with jitter so that instances don't call together.
 #[derive(Debug)]
@@ -41,37 +44,39 @@
 /// Reads everything once, then watches while this instance is one of the watchers.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let mut client = client(&shared);
-    let mut must_read = true;
+    let mut must_read = Some(ReadAge::MayBeStale);
     let mut backoff = Backoff::new();
     loop {
-        let result = if must_read {
-            read(&shared, &mut client).await
+        let result = if let Some(age) = must_read {
+            read(&shared, &mut client, age).await
         } else {
             wait_for_turn(&shared).await;
             watch(&shared, &mut client).await
         };
         match result {
             Ok(()) => {
-                must_read = false;
+                must_read = None;
                 backoff = Backoff::new();
                 set_watching(&shared, true, "");
             }
             Err(StoreError::Gone) => {
                 tracing::info!("the store's history is gone; reading again");
-                must_read = true;
+                // What a stale reading lacks could not be watched for any more.
+                must_read = Some(ReadAge::Fresh);
             }
             Err(err) => {
                 set_watching(&shared, false, &err.to_string());
                 backoff.wait().await;
+                let knows_nothing = shared.state().replica.revision() == 0;
                 // A peer may have brought everything meanwhile.
-                must_read = shared.state().replica.revision() == 0;
+                must_read = must_read.filter(|age| *age == ReadAge::Fresh || knows_nothing);
             }
         }
     }
 }
 
-async fn read(shared: &Shared, client: &mut StoreClient) -> Result<(), StoreError> {
-    let reading = client.read_all().await?;
+async fn read(shared: &Shared, client: &mut StoreClient, age: ReadAge) -> Result<(), StoreError> {
+    let reading = client.read_all(age).await?;
     apply(shared, reading, true);
     Ok(())
 }
@@ -82,7 +87,13 @@
         let tuning = &state.tuning;
         (state.replica.revision(), tuning.watch_wait, tuning.gather)
     };
-    let reading = client.watch(revision, wait).await?;
+    let reading = tokio::select! {
+        reading = client.watch(revision, wait) => reading?,
+        () = until_deaf(shared) => {
+            client.disconnect();
+            return Err(StoreError::Unknown("peers hear more than this watch".into()));
+        }
+    };
     let any = !reading.changes.is_empty();
     apply(shared, reading, false);
     if any {
@@ -91,6 +102,15 @@
     Ok(())
 }
 
+/// Returns once peers have brought changes that the own watch has not told for long.
+async fn until_deaf(shared: &Shared) {
+    let start = shared.state().replica.content();
+    while shared.state().replica.content() == start {
+        tokio::time::sleep(LOOK).await;
+    }
+    tokio::time::sleep(DEAF_AFTER).await;
+}
+
 /// Returns once this instance is to watch: it does already and is still among the
 /// first watchers, or too few others have watched for a while.
 async fn wait_for_turn(shared: &Shared) {
@@ -142,56 +162,69 @@
     }
 }
 
-/// Keeps this instance registered, until the process ends.
+/// Registers this instance, and removes the registrations of others that have been
+/// silent for long, until the process ends.
 pub(crate) async fn register(shared: Arc<Shared>) {
     let mut client = client(&shared);
-    let (registration, lease_time) = {
+    let registration = {
         let state = shared.state();
-        let registration = Registration {
+        Registration {
             address: state.settings.peers,
             zone: state.settings.zone.clone(),
-        };
-        (
-            registration,
-            state.tuning.lease.max(state.settings.min_lease),
-        )
+        }
     };
     let key = record::registration_key(registration.address);
     let value = record::registration_value(&registration);
-    let mut backoff = Backoff::new();
-    let mut lease = None;
+    enter(&shared, &mut client, &key, &value).await;
     loop {
-        let result = match lease {
-            None => enter(&mut client, &key, &value, lease_time).await.map(Some),
-            Some(lease) => client.renew(lease).await.map(|()| Some(lease)),
-        };
-        match result {
-            Ok(held) => {
-                lease = held;
-                backoff = Backoff::new();
-                tokio::time::sleep(lease_time.mul_f64(RENEW_PART)).await;
-            }
-            Err(StoreError::Gone) => {
-                tracing::info!("the registration's lease has ended; registering again");
-                lease = None;
+        tokio::time::sleep(CLEAN_EVERY).await;
+        for (key, revision) in shared.stale_registrations() {
+            match client.remove_if(&key, revision).await {
+                Ok(()) => {
+                    tracing::info!(key = &*key, "registration of a silent instance removed");
+                }
+                Err(err) => tracing::info!(key = &*key, %err, "a registration was not removed"),
             }
-            Err(err) => {
-                tracing::info!(%err, "not registered");
-                backoff.wait().await;
+        }
+    }
+}
+
+/// Writes this instance's registration unless it is there from an earlier run.
+async fn enter(shared: &Shared, client: &mut StoreClient, key: &str, value: &[u8]) {
+    let mut backoff = Backoff::new();
+    // The first read shows whether the registration is there.
+    while shared.state().replica.revision() == 0 {
+        tokio::time::sleep(LOOK).await;
+    }
+    while shared.state().replica.revision_of(key).is_none() {
+        match client.put_if(key, value, 0).await {
+            Ok(()) => {
+                tracing::info!(key, "registered");
+                return;
             }
+            // Its answer was lost before, or the first read was stale.
+            Err(StoreError::Conflict) => return,
+            Err(err) => tracing::info!(%err, "not registered yet"),
         }
+        backoff.wait().await;
     }
 }
 
-async fn enter(
-    client: &mut StoreClient,
-    key: &str,
-    value: &[u8],
-    lease_time: Duration,
-) -> Result<u64, StoreError> {
-    let lease = client.grant(lease_time).await?;
-    client.put(key, value, lease).await?;
-    Ok(lease)
+impl Shared {
+    /// Registrations to remove, with their revisions: instances that this one has not
+    /// heard for long, where this one comes first among the live ones.
+    fn stale_registrations(&self) -> Vec<(Arc<str>, u64)> {
+        let now = self.now();
+        let state = self.state();
+        if !state.members.is_first(now) {
+            return Vec::new();
+        }
+        state
+            .registered()
+            .filter(|(_, address)| state.members.is_long_silent(now, *address))
+            .filter_map(|(key, _)| Some((key.clone(), state.replica.revision_of(key)?)))
+            .collect()
+    }
 }
 
 fn client(shared: &Shared) -> StoreClient {
--- a/src/observe/lines.rs
+++ b/src/observe/lines.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tracing_subscriber::fmt::MakeWriter;
 
@@ -12,6 +12,11 @@
 /// Time in which lines are gathered for one write.
 const GATHER: Duration = Duration::from_millis(100);
 
+/// Longest wait for the last lines at the end of the process.
+const FLUSH_LIMIT: Duration = Duration::from_millis(400);
+
+/// Lines that are not written yet.
+static WAITING: AtomicU64 = AtomicU64::new(0);
 /// Lines dropped since the start.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
@@ -20,6 +25,14 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
+/// Waits until the lines so far are written, for a bounded time.
+pub(crate) fn flush() {
+    let began = Instant::now();
+    while WAITING.load(Ordering::Relaxed) > 0 && began.elapsed() < FLUSH_LIMIT {
+        std::thread::sleep(GATHER / 10);
+    }
+}
+
 /// A writer to standard output over a bounded buffer and a thread of its own.
 pub(crate) fn writer() -> Lines {
     let (tx, rx) = sync_channel(MAX_WAITING);
@@ -40,7 +53,9 @@
 
 impl Write for Lines {
     fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        WAITING.fetch_add(1, Ordering::Relaxed);
         if self.tx.try_send(line.to_vec()).is_err() {
+            WAITING.fetch_sub(1, Ordering::Relaxed);
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
@@ -64,21 +79,22 @@
     while let Ok(first) = rx.recv() {
         std::thread::sleep(GATHER);
         let mut batch = first;
+        let mut count = 1;
         while let Ok(line) = rx.try_recv() {
             batch.extend_from_slice(&line);
+            count += 1;
         }
         let lost = dropped();
         if lost > reported {
-            batch.extend_from_slice(
-                format!(
-                    "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":{}}}\n",
-                    lost - reported
-                )
-                .as_bytes(),
+            let count = lost - reported;
+            let line = format!(
+                "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":{count}}}\n"
             );
+            batch.extend_from_slice(line.as_bytes());
             reported = lost;
         }
         // Nobody reads the log: there is nowhere left to say so.
         let _ = std::io::stdout().lock().write_all(&batch);
+        WAITING.fetch_sub(count, Ordering::Relaxed);
     }
 }
--- a/src/platform/prepared/settings.rs
+++ b/src/platform/prepared/settings.rs
@@ -85,8 +85,6 @@
 #[derive(Deserialize)]
 struct Platform {
     address: SocketAddr,
-    #[serde(default)]
-    ttl_min_ms: u64,
 }
 
 #[derive(Deserialize)]
@@ -174,7 +172,6 @@
         seeds: wire.seeds.iter().map(SocketAddr::ip).collect(),
         first_start: wire.bootstrap,
         store: wire.platform.address,
-        min_lease: Duration::from_millis(wire.platform.ttl_min_ms),
         grace: seconds(bounds.grace_s),
         leave_within: seconds(bounds.drain_ms / 1000.0),
         repeat_ratio: bounds.retry_budget_ratio,
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -30,7 +30,7 @@
     /// The store did nothing; the call may be made again.
     #[display("refused with status {_0}")]
     Refused(u16),
-    /// There is no such lease, or the history that a watch asked for is gone.
+    /// The history that a watch asked for is gone.
     #[display("gone")]
     Gone,
     /// The condition of a change doesn't hold.
@@ -44,6 +44,15 @@
     Malformed(String),
 }
 
+/// Whether a reading may be some seconds old.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ReadAge {
+    /// It is linearizable.
+    Fresh,
+    /// A watch from its revision must follow, which brings what it lacks.
+    MayBeStale,
+}
+
 /// What was read, and the store's revision at that time.
 #[derive(Debug)]
 pub(crate) struct Reading {
@@ -71,13 +80,18 @@
         }
     }
 
-    /// Reads everything; the revision is that of the first page.
-    pub(crate) async fn read_all(&mut self) -> Result<Reading, StoreError> {
+    /// Reads everything; the revision is that of the first page. A reading that may be
+    /// some seconds old costs a tenth.
+    pub(crate) async fn read_all(&mut self, age: ReadAge) -> Result<Reading, StoreError> {
         let mut changes = Vec::new();
         let mut revision = None;
         let mut after = String::new();
         loop {
-            let path = format!("/api/kv-range?prefix=&after={}", escape(&after));
+            let stale = match age {
+                ReadAge::Fresh => "",
+                ReadAge::MayBeStale => "&stale_ok=1",
+            };
+            let path = format!("/api/kv-range?prefix=&after={}{stale}", escape(&after));
             let page: Page = self.get("range", &path, CALL_TIMEOUT).await?;
             revision.get_or_insert(page.store_revision);
             if let Some(last) = page.items.last() {
@@ -92,6 +106,11 @@
         }
     }
 
+    /// Closes the connection; the next call opens another.
+    pub(crate) fn disconnect(&mut self) {
+        self.conn = None;
+    }
+
     /// Waits for changes after `revision`; an empty reading when none came.
     pub(crate) async fn watch(
         &mut self,
@@ -107,41 +126,35 @@
         })
     }
 
-    /// Takes a lease.
-    pub(crate) async fn grant(&mut self, ttl: Duration) -> Result<u64, StoreError> {
-        #[derive(Deserialize)]
-        struct Granted {
-            lease: u64,
-        }
-        let body = json!({ "ttl_ms": whole_millis(ttl) });
-        let granted: Granted = self.post("grant", "/api/kv-lease", &body).await?;
-        Ok(granted.lease)
-    }
-
-    /// Renews a lease; [`StoreError::Gone`] when it has ended.
-    pub(crate) async fn renew(&mut self, lease: u64) -> Result<(), StoreError> {
-        let path = format!("/api/kv-keep/{lease}");
-        let _: serde_json::Value = self.post("renew", &path, &json!({})).await?;
-        Ok(())
-    }
-
-    /// Writes a record under a lease; idempotent.
-    pub(crate) async fn put(
+    /// Writes a record if its key is at `revision`, 0 for one that does not exist.
+    /// [`StoreError::Conflict`] when it is not.
+    pub(crate) async fn put_if(
         &mut self,
         key: &str,
         value: &[u8],
-        lease: u64,
+        revision: u64,
     ) -> Result<(), StoreError> {
         let value = STANDARD.encode(value);
         let body = json!({
-            "expected": [],
-            "writes": [{ "key": key, "value": value, "lease": lease }],
+            "expected": [{ "key": key, "rev": revision }],
+            "writes": [{ "key": key, "value": value, "lease": 0 }],
             "remove": [],
         });
         let _: serde_json::Value = self.post("put", "/api/kv-txn", &body).await?;
         Ok(())
     }
 
+    /// Removes a record if its key is at `revision`.
+    pub(crate) async fn remove_if(&mut self, key: &str, revision: u64) -> Result<(), StoreError> {
+        let body = json!({
+            "expected": [{ "key": key, "rev": revision }],
+            "writes": [],
+            "remove": [key],
+        });
+        let _: serde_json::Value = self.post("remove", "/api/kv-txn", &body).await?;
+        Ok(())
+    }
+
     async fn get<T: DeserializeOwned>(
         &mut self,
         kind: &str,
@@ -266,10 +279,6 @@
     }
 }
 
-fn whole_millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Percent-encodes what may not stand in a query.
 fn escape(text: &str) -> String {
     let mut out = String::with_capacity(text.len());
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -184,3 +184,49 @@
         assert!(!answer.body.starts_with("t0 ran"), "{answer:?}");
     }
 }
+
+#[tokio::test]
+async fn calls_to_the_store_do_not_grow_with_instances_times_changes() {
+    let world = World::start(8, 1).await;
+    world.until_watching(4).await;
+    let before = world.store.calls("kv-watch");
+    for version in 10..15 {
+        world.configure(version, &["/safe/", "/once/"]);
+        for instance in 0..8 {
+            world.until_version(instance, version).await;
+        }
+    }
+    // Four watchers hear of each change; a watch may end once more between two.
+    let watches = world.store.calls("kv-watch") - before;
+    assert!(watches <= 5 * 4 * 2, "{watches}");
+    // One write registers each instance, and no lease needs to be renewed.
+    assert_eq!(world.store.calls("kv-txn"), 8);
+    assert_eq!(world.store.calls("kv-lease"), 0);
+}
+
+#[tokio::test]
+async fn an_instance_that_starts_again_writes_nothing() {
+    let mut world = World::start(2, 1).await;
+    let before = world.store.calls("kv-txn");
+    world.kill(1);
+    world.launch(1);
+    world.until_version(1, 7).await;
+    world.until_directory(1, 2).await;
+    assert_eq!(world.store.calls("kv-txn"), before);
+}
+
+#[tokio::test]
+async fn what_happens_in_a_gap_of_the_history_is_read_and_not_from_a_stale_copy() {
+    let world = World::start(1, 1).await;
+    world.until_watching(1).await;
+    world.store.faults.set(Faults {
+        deaf_watches: true,
+        stale_by: 100,
+        ..Faults::default()
+    });
+    world.configure(9, &["/safe/", "/once/", "/late/"]);
+    world.store.compact();
+    world.until_version(0, 9).await;
+    let answer = world.get(0, "/late/x", "gap").await;
+    assert_eq!(answer.status, 200);
+}
