Say in the log why a request was refused and what its targets were

The line of a refusal names the reason and how many targets of the service had room or were full, cold, down, evacuated or leaving; an answer names the load its choice rested on; a passed deadline names the target's slowness.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -86,16 +86,12 @@
 /// What came of an attempt.
 #[derive(Debug)]
 pub(crate) struct Attempted {
-    /// The target.
-    pub target: TargetId,
+    /// The target, and what its choice rested on.
+    pub choice: Choice,
     /// What it came to.
     pub fact: Fact,
     /// The target's answer, where one may be passed on.
     pub answer: Option<Answer>,
-    /// Slowness that the choice rested on, in percent.
-    pub slowness_percent: Option<f64>,
-    /// Age of that figure in milliseconds.
-    pub report_age_ms: Option<u64>,
 }
 
 /// Sends a request to a target and notes what came of it.
@@ -115,13 +111,9 @@
     let (fact, answer) = shared.note_result(&out, &choice, began, fingerprint, result);
     drop(in_flight);
     Attempted {
-        target: choice.id,
+        choice,
         fact,
         answer,
-        slowness_percent: choice.candidate.slowness_percent,
-        report_age_ms: choice
-            .report_age
-            .and_then(|age| u64::try_from(age.as_millis()).ok()),
     }
 }
 
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -104,7 +104,7 @@
             };
             call.run().await
         }
-        Err(outcome) => (outcome, refusal(outcome, COME_BACK)),
+        Err(outcome) => (outcome, reply(outcome, COME_BACK)),
     };
     shared
         .metrics
@@ -134,6 +134,24 @@
     pub version: u64,
 }
 
+/// Why a request is refused, and after what time its caller should come back.
+#[derive(Debug, Clone, Copy)]
+struct Refusal {
+    reason: NoTarget,
+    wait: Duration,
+}
+
+impl Refusal {
+    fn new(reason: NoTarget, wait: Duration) -> Self {
+        Self { reason, wait }
+    }
+
+    /// Every target that may be tried within the limits was.
+    fn exhausted() -> Self {
+        Self::new(NoTarget::Tried, COME_BACK)
+    }
+}
+
 type Running<'a> = FuturesUnordered<Pin<Box<dyn Future<Output = Attempted> + Send + 'a>>>;
 
 struct Call<'a> {
@@ -161,7 +179,7 @@
                         running.push(self.start(choice));
                         look.reset();
                     }
-                    Err(wait) => return self.end_without_target(failure, wait),
+                    Err(refusal) => return self.end_without_target(failure, refusal),
                 }
             }
             let may_hedge = running.len() == 1 && self.may_hedge();
@@ -181,8 +199,9 @@
                         _ if !running.is_empty() => failure = done.answer.or(failure),
                         Next::Deliver => return self.deliver(done),
                         Next::Again | Next::AgainWithinBudget => failure = done.answer.or(failure),
-                        Next::Refuse => return self.refuse(COME_BACK),
-                        Next::Fail => return self.end_without_target(failure, COME_BACK),
+                        Next::Refuse | Next::Fail => {
+                            return self.end_without_target(failure, Refusal::exhausted());
+                        }
                     }
                 }
                 _ = look.tick(), if may_hedge => running.extend(self.hedge()),
@@ -281,9 +300,8 @@
         Box::pin(attempt)
     }
 
-    /// Chooses a target, waiting in line while there is no room; otherwise the time
-    /// after which to come back.
-    async fn place(&self) -> Result<Choice, Duration> {
+    /// Chooses a target, waiting in line while there is no room.
+    async fn place(&self) -> Result<Choice, Refusal> {
         let mut ticket = Waiting {
             call: self,
             ticket: None,
@@ -293,12 +311,16 @@
             match ticket.try_place() {
                 Ok(choice) => return Ok(choice),
                 Err(NoTarget::Full) => ticket.join_or_give_up()?,
-                Err(NoTarget::None | NoTarget::Tried) => return Err(COME_BACK),
+                Err(reason @ (NoTarget::None | NoTarget::Tried)) => {
+                    return Err(Refusal::new(reason, COME_BACK));
+                }
             }
             tokio::select! {
                 () = room => {}
                 () = tokio::time::sleep(LOOK_AGAIN) => {}
-                () = tokio::time::sleep_until(self.until.into()) => return Err(COME_BACK),
+                () = tokio::time::sleep_until(self.until.into()) => {
+                    return Err(Refusal::new(NoTarget::Full, COME_BACK));
+                }
             }
         }
     }
@@ -320,24 +342,26 @@
 
     fn deliver(&self, done: Attempted) -> (Outcome, Reply) {
         let Some(answer) = done.answer else {
-            return (Outcome::Lost, refusal(Outcome::Lost, COME_BACK));
+            return (Outcome::Lost, reply(Outcome::Lost, COME_BACK));
         };
         tracing::info!(
             request = &*self.out.id,
             route = &*self.admitted.route.name,
             version = self.admitted.version,
             service = %self.admitted.service,
-            target = %done.target,
+            target = %done.choice.id,
             status = answer.status,
-            slowness = done.slowness_percent,
-            report_age_ms = done.report_age_ms,
+            slowness_percent = done.choice.candidate.slowness_percent,
+            occupied = done.choice.candidate.occupied,
+            slots = done.choice.candidate.slots,
+            report_age_ms = done.choice.report_age.map(millis),
             attempts = self.tried.len(),
             hedged = self.hedged,
             took_ms = millis(self.out.began.elapsed()),
             "answered"
         );
         if done.fact == Fact::TargetFailed && is_promise(answer.status) {
-            return (Outcome::Lost, refusal(Outcome::Lost, COME_BACK));
+            return (Outcome::Lost, reply(Outcome::Lost, COME_BACK));
         }
         let outcome = if done.fact == Fact::Answered {
             Outcome::Answered
@@ -347,39 +371,51 @@
         (outcome, pass_on(answer))
     }
 
-    fn refuse(&self, wait: Duration) -> (Outcome, Reply) {
+    fn refuse(&self, refusal: Refusal) -> (Outcome, Reply) {
+        let now = self.shared.now();
+        let service = &self.admitted.service;
+        let census = self.shared.state().census(now, service);
         tracing::info!(
             request = &*self.out.id,
             route = &*self.admitted.route.name,
-            service = %self.admitted.service,
+            version = self.admitted.version,
+            %service,
+            reason = %refusal.reason,
+            ?census,
             unsent = self.history.unsent,
             shed = self.history.shed,
-            come_back_ms = millis(wait),
+            come_back_ms = millis(refusal.wait),
             "refused: not run"
         );
-        (Outcome::Refused, refusal(Outcome::Refused, wait))
+        (Outcome::Refused, reply(Outcome::Refused, refusal.wait))
     }
 
-    fn end_without_target(&self, failure: Option<Answer>, wait: Duration) -> (Outcome, Reply) {
+    fn end_without_target(&self, failure: Option<Answer>, refusal: Refusal) -> (Outcome, Reply) {
         if self.history.not_run() {
-            return self.refuse(wait);
+            return self.refuse(refusal);
         }
         match failure {
             Some(answer) if !is_promise(answer.status) => (Outcome::TargetFailed, pass_on(answer)),
-            _ => (Outcome::Lost, refusal(Outcome::Lost, wait)),
+            _ => (Outcome::Lost, reply(Outcome::Lost, refusal.wait)),
         }
     }
 
     /// Ends a request at its deadline; its attempts are cancelled.
     fn time_out(&self) -> (Outcome, Reply) {
+        let now = self.shared.now();
+        let last = self.tried.last();
+        let slowness = last.map(|target| self.shared.state().slowness(now, target));
         tracing::info!(
             request = &*self.out.id,
             route = &*self.admitted.route.name,
             service = %self.admitted.service,
-            targets = ?self.tried,
+            target = self.tried.last().map(TargetId::as_str),
+            slowness,
+            attempts = self.tried.len(),
+            deadline_ms = millis(self.until.duration_since(self.out.began)),
             "deadline passed"
         );
-        (Outcome::TimedOut, refusal(Outcome::TimedOut, COME_BACK))
+        (Outcome::TimedOut, reply(Outcome::TimedOut, COME_BACK))
     }
 }
 
@@ -409,12 +445,16 @@
 
     /// Joins the line, or says when to come back once the request can't end within
     /// its objective any more.
-    fn join_or_give_up(&mut self) -> Result<(), Duration> {
+    fn join_or_give_up(&mut self) -> Result<(), Refusal> {
         let call = self.call;
         let typical = call.typical();
         let left = call.need(typical).objective_left;
         if self.ticket.is_some() {
-            return if typical > left { Err(typical) } else { Ok(()) };
+            return if typical > left {
+                Err(Refusal::new(NoTarget::Full, typical))
+            } else {
+                Ok(())
+            };
         }
         let mut state = call.shared.state();
         let slots = state.own_slots(&call.admitted.service);
@@ -425,7 +465,7 @@
         let priority = call.admitted.route.priority;
         let wait = expected_wait(line.ahead(priority), slots, typical);
         if wait + typical > left {
-            return Err(wait);
+            return Err(Refusal::new(NoTarget::Full, wait));
         }
         let until = call.shared.now().after(left);
         self.ticket = Some(line.join(priority, until));
@@ -493,7 +533,7 @@
     matches!(status, 408 | 421 | 429 | 503)
 }
 
-fn refusal(outcome: Outcome, wait: Duration) -> Reply {
+fn reply(outcome: Outcome, wait: Duration) -> Reply {
     let mut reply = Reply::empty(outcome.status());
     if reply.status == 503 {
         let wait = wait.clamp(COME_BACK_RANGE.0, COME_BACK_RANGE.1);
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -101,6 +101,17 @@
     pub report_age: Option<Duration>,
 }
 
+/// The targets of a service by what keeps them from taking a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Census {
+    with_room: usize,
+    full: usize,
+    cold: usize,
+    down: usize,
+    evacuated: usize,
+    leaving: usize,
+}
+
 /// The targets of a service as one request finds them.
 #[derive(Debug, Default)]
 struct Survey {
@@ -337,6 +348,27 @@
         survey
     }
 
+    /// How many targets of a service may take a request now, and what keeps the others
+    /// from it.
+    pub(crate) fn census(&mut self, now: Time, service: &ServiceName) -> Census {
+        let settings = self.tuning.placement.clone();
+        let own_zone = self.settings.zone.clone();
+        let mut census = Census::default();
+        let (views, evacuated) = self.fleet.of_service(service);
+        for view in views {
+            let candidate = view.candidate(now, &own_zone);
+            match view.unusable(now, evacuated, |_| 0) {
+                Some(Unusable::Leaving) => census.leaving += 1,
+                Some(Unusable::Evacuated) => census.evacuated += 1,
+                Some(Unusable::Down) => census.down += 1,
+                Some(Unusable::Cold) => census.cold += 1,
+                None if !placement::has_room(&candidate, &settings) => census.full += 1,
+                None => census.with_room += 1,
+            }
+        }
+        census
+    }
+
     fn begin(&mut self, now: Time, id: &TargetId) -> Option<Choice> {
         let own_zone = self.settings.zone.clone();
         let view = self.fleet.get_mut(id)?;
