Tell callers of shed requests to come back soon, and test deadline and cancellation

Cause: while every target of a service sheds half of its requests, the repeat budget is soon used up, and a refused caller was told 250 ms, most of the objective; another target would take it at once. Ruled out: more repeats (the bound).

Change: 50 ms after sheds. New tests: targets are told the time that is left; a caller that leaves cancels its request at the target.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -27,6 +27,9 @@
 /// When to come back after a refusal that no load explains; targets come back and
 /// configurations arrive within fractions of a second.
 const COME_BACK: Duration = Duration::from_millis(250);
+/// When to come back after targets shed a request while the repeat budget was used up:
+/// others may take it at once, and the caller's own repeat is a new request.
+const COME_BACK_SHED: Duration = Duration::from_millis(50);
 /// Shortest and longest time to come back that is told to a caller.
 const COME_BACK_RANGE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
 /// Time between two looks for room where no end of a request announces it.
@@ -146,9 +149,14 @@
         Self { reason, wait }
     }
 
-    /// Every target that may be tried within the limits was.
-    fn exhausted() -> Self {
-        Self::new(NoTarget::Tried, COME_BACK)
+    /// There is no target that could take it, after what it has been through.
+    fn after(history: History, reason: NoTarget) -> Self {
+        let wait = if history.shed > 0 {
+            COME_BACK_SHED
+        } else {
+            COME_BACK
+        };
+        Self::new(reason, wait)
     }
 }
 
@@ -200,7 +208,7 @@
                         Next::Deliver => return self.deliver(done),
                         Next::Again | Next::AgainWithinBudget => failure = done.answer.or(failure),
                         Next::Refuse | Next::Fail => {
-                            return self.end_without_target(failure, Refusal::exhausted());
+                            return self.end_without_target(failure, Refusal::after(self.history, NoTarget::Tried));
                         }
                     }
                 }
@@ -312,7 +320,7 @@
                 Ok(choice) => return Ok(choice),
                 Err(NoTarget::Full) => ticket.join_or_give_up()?,
                 Err(reason @ (NoTarget::None | NoTarget::Tried)) => {
-                    return Err(Refusal::new(reason, COME_BACK));
+                    return Err(Refusal::after(self.history, reason));
                 }
             }
             tokio::select! {
--- a/src/entry/placement.rs
+++ b/src/entry/placement.rs
@@ -57,6 +57,10 @@
 
 /// A target as placement sees it.
 #[derive(Debug, Clone, Copy, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent facts of a target"
+)]
 pub struct Candidate {
     /// Time that work takes, in percent of the usual; `None` without a recent report.
     pub slowness_percent: Option<f64>,
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -45,7 +45,7 @@
             if path == "/once/x" {
                 assert!(world.runs(&id) <= 1, "{id} ran {}", world.runs(&id));
             }
-            let told = answer.header("retry-after").is_some();
+            let told = answer.header("retry-after").unwrap_or("none");
             writeln!(seen, "{id}: {}, retry-after: {told}", answer.status).unwrap();
         }
     }
@@ -230,3 +230,33 @@
     let answer = world.get(0, "/late/x", "gap").await;
     assert_eq!(answer.status, 200);
 }
+
+#[tokio::test]
+async fn targets_are_told_the_time_that_is_left() {
+    let world = World::start(1, 1).await;
+    world.get(0, "/safe/x", "first").await;
+    let told = world.last_deadline_ms();
+    // The request allows 2,000 ms, and so does the route.
+    assert!((1..=2_000).contains(&told), "{told}");
+    world.configure_timeout(9, 300);
+    world.until_version(0, 9).await;
+    let answer = world.get(0, "/safe/x", "second").await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let told = world.last_deadline_ms();
+    assert!((1..=300).contains(&told), "{told}");
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_cancels_its_request_at_the_target() {
+    let world = World::start(1, 1).await;
+    world.work(Duration::from_millis(400));
+    let request = tokio::spawn(world.request(0, "/safe/x", "left"));
+    world.until_running("left").await;
+    request.abort();
+    assert!(request.await.unwrap_err().is_cancelled());
+    world.work(Duration::from_millis(2));
+    // A later request that runs to its end shows that the time of the first is over.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    world.get(0, "/safe/x", "stays").await;
+    assert_eq!(world.finished(), 1);
+}
--- a/tests/entry_world/mod.rs
+++ b/tests/entry_world/mod.rs
@@ -164,6 +164,15 @@
 
     /// Writes a configuration with these prefixes; `/once/` may not be repeated.
     pub fn configure(&self, version: u64, prefixes: &[&str]) {
+        self.put_configuration(version, prefixes, 2000);
+    }
+
+    /// Writes a configuration with another timeout of its routes.
+    pub fn configure_timeout(&self, version: u64, timeout_ms: u64) {
+        self.put_configuration(version, &["/safe/", "/once/"], timeout_ms);
+    }
+
+    fn put_configuration(&self, version: u64, prefixes: &[&str], timeout_ms: u64) {
         let rows: Vec<Value> = prefixes
             .iter()
             .map(|prefix| {
@@ -177,7 +186,7 @@
                     "x.example",
                     prefix,
                     kind,
-                    2000,
+                    timeout_ms,
                     500,
                     1,
                     null,
@@ -236,6 +245,20 @@
             .sum()
     }
 
+    /// The deadline that the last request to the first target came with.
+    pub fn last_deadline_ms(&self) -> u64 {
+        self.targets[0].record.get().last_deadline_ms
+    }
+
+    /// Requests that targets ran to their end.
+    pub fn finished(&self) -> u32 {
+        let finished = self
+            .targets
+            .iter()
+            .map(|target| target.record.get().finished);
+        finished.sum()
+    }
+
     pub async fn until_running(&self, id: &str) {
         self.until(|| async { Some(self.runs(id)) }, |runs| *runs > 0)
             .await;
@@ -347,12 +370,16 @@
         };
         let waited = tokio::time::timeout(LIMIT, looking).await;
         if waited.is_err() {
-            for instance in &self.instances {
-                println!("{} {}", instance.ip, instance.log.lock().unwrap());
-            }
+            self.print_logs();
             panic!("waited in vain");
         }
     }
+
+    pub fn print_logs(&self) {
+        for instance in &self.instances {
+            println!("{} {}", instance.ip, instance.log.lock().unwrap());
+        }
+    }
 }
 
 impl Drop for World {
