Give up watches that stay silent after an outage in time

In the log, the instances that stepped in while the store was silent had opened watches of 10 s, which stayed silent after its return, so that nobody heard of a change for 8 s. Ruled out: peers (none was ahead), the history (no gap).

Change: a watch opened without a confirmed answer waits 0.1 s; others wait 2.8 s, by the bound for configurations after an outage, which a test works out from the settings.

--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -63,8 +63,8 @@
     /// Instances that watch the store for all; four, so that cuts of a third of the
     /// instances leave one nearly always.
     pub watchers: usize,
-    /// Longest wait of a watch; each ends as a call. One that has gone silent is found
-    /// by the other watchers.
+    /// Longest wait of a watch; each ends as a call. One that stays silent after an
+    /// outage of the store must end within the bound for configurations.
     pub watch_wait: Duration,
     /// Time in which changes are gathered before the next watch; a fraction of the
     /// bound for a configuration to be in force.
@@ -87,7 +87,7 @@
             peer_silence: Duration::from_millis(1300),
             peer_forget: Duration::from_secs(60),
             watchers: 4,
-            watch_wait: Duration::from_secs(10),
+            watch_wait: Duration::from_millis(2800),
             gather: Duration::from_millis(250),
             directory_ttl: Duration::from_secs(1),
             probe_timeout: Duration::from_millis(250),
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -7,6 +7,7 @@
 
 use super::model::{Change, Registration};
 use super::replica::Delta;
+use super::settings::Tuning;
 use super::shared::Shared;
 use crate::platform::prepared::record;
 use crate::platform::prepared::store::{ReadAge, Reading, StoreClient, StoreError};
@@ -17,6 +18,8 @@
 const STEP_IN: Duration = Duration::from_millis(300);
 /// Time after a failed call before the next, doubled each time up to the longest.
 const RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(1200));
+/// Wait of a watch that only shows whether the store answers.
+const CONFIRM_WAIT: Duration = Duration::from_millis(100);
 /// Time between two looks for registrations of instances that are gone.
 const CLEAN_EVERY: Duration = Duration::from_secs(60);
 /// Time by which a peer's watch may hear more than this one's before this one counts
@@ -84,8 +87,8 @@
 async fn watch(shared: &Shared, client: &mut StoreClient) -> Result<(), StoreError> {
     let (revision, wait, gather) = {
         let state = shared.state();
-        let tuning = &state.tuning;
-        (state.replica.revision(), tuning.watch_wait, tuning.gather)
+        let wait = watch_wait(state.standing.watching, &state.tuning);
+        (state.replica.revision(), wait, state.tuning.gather)
     };
     let reading = tokio::select! {
         reading = client.watch(revision, wait) => reading?,
@@ -102,6 +105,19 @@
     Ok(())
 }
 
+/// How long the next watch waits. One that is opened while the store may be silent
+/// must not wait long for an answer that never comes.
+///
+/// Load pattern: the store falls silent and returns; connections from before stay
+/// silent.
+fn watch_wait(is_confirmed: bool, tuning: &Tuning) -> Duration {
+    if is_confirmed {
+        tuning.watch_wait
+    } else {
+        CONFIRM_WAIT.min(tuning.watch_wait)
+    }
+}
+
 /// Returns once peers have brought changes that the own watch has not told for long.
 async fn until_deaf(shared: &Shared) {
     let start = shared.state().replica.content();
@@ -231,3 +247,6 @@
     let address = shared.state().settings.store;
     StoreClient::new(address, shared.metrics.store_calls.clone())
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/entry/sync/tests.rs
@@ -0,0 +1,33 @@
+use super::*;
+use crate::platform::prepared::store::WATCH_MARGIN;
+
+/// After the store's return a configuration must be in force everywhere within this:
+/// the time in which instances count as out of touch, and the bound itself.
+const BOUND: Duration = Duration::from_millis(3000 + 2000);
+
+/// Longest time from the store's return until a watcher hears of a change, when its
+/// watch was opened just before the return and stays silent.
+fn longest_silence(tuning: &Tuning, is_confirmed: bool) -> Duration {
+    let silent = watch_wait(is_confirmed, tuning) + WATCH_MARGIN;
+    // The pause is the shortest after an answer, and the longest after many failures.
+    let pause = if is_confirmed { RETRY.0 } else { RETRY.1 };
+    silent + pause + watch_wait(false, tuning) + WATCH_MARGIN
+}
+
+#[test]
+fn a_watch_that_stays_silent_after_an_outage_is_given_up_in_time() {
+    let tuning = Tuning::default();
+    // Told to the others with the next beat, and asked for by them.
+    let told = tuning.beat * 2 + tuning.gather;
+    for is_confirmed in [false, true] {
+        let heard = longest_silence(&tuning, is_confirmed) + told;
+        assert!(heard <= BOUND, "{heard:?}");
+    }
+}
+
+#[test]
+fn a_watch_waits_long_only_once_the_store_has_answered() {
+    let tuning = Tuning::default();
+    assert_eq!(watch_wait(true, &tuning), tuning.watch_wait);
+    assert!(watch_wait(false, &tuning) < tuning.watch_wait / 4);
+}
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -20,7 +20,7 @@
 /// Time for an answer; the store may take hundreds of milliseconds when it is slow.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time that a watch's answer may take beyond the time it waits.
-const WATCH_MARGIN: Duration = Duration::from_millis(700);
+pub(crate) const WATCH_MARGIN: Duration = Duration::from_millis(700);
 /// Largest answer: a page of at most a megabyte, in base64 with its fields.
 const MAX_ANSWER: usize = 8 << 20;
 
