Probe targets from their own zone, and spare beats among many instances

Change: a target's home is in its zone while an instance lives there, so that its findings reach those who use it most within a beat; from 48 instances on, news go to the own zone only, other zones hear once a second.

--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -8,14 +8,24 @@
 use siphasher::sip::SipHasher13;
 
 use super::message::Beat;
+use super::model::Target;
 use crate::names::{TargetId, ZoneName};
 use crate::units::Time;
 
 /// Keys of the rendezvous hash; every instance must use the same.
 const HASH_KEYS: (u64, u64) = (0x656e_7472_795f_686f, 0x6d65_5f6f_665f_7461);
+/// Instances from which on beats are spared: each tells all others, so their number
+/// grows with the square.
+const MANY: usize = 48;
 /// Longest time between two beats to an instance in another zone, where bytes are
 /// dear; a third of the silence that counts as gone.
 const FAR_BEAT: Duration = Duration::from_millis(400);
+/// The same among many instances, in the own zone and elsewhere; the silence that
+/// counts as gone is more than three of either.
+const MANY_NEAR_BEAT: Duration = Duration::from_millis(300);
+const MANY_FAR_BEAT: Duration = Duration::from_secs(1);
+/// Silence that counts as gone among many instances.
+const MANY_SILENCE: Duration = Duration::from_millis(3200);
 /// Silence after which an instance's registration is removed from the store; regions
 /// lose each other for minutes, and a removal too early costs a write.
 const REMOVE_AFTER: Duration = Duration::from_secs(30 * 60);
@@ -137,8 +147,7 @@
     }
 
     /// The instances that are due a beat, which is noted as sent, in `zone` and
-    /// elsewhere. Those elsewhere are due one when there is news, or regularly; the
-    /// silent ones seldom.
+    /// elsewhere; see [`pause`].
     pub fn beat_targets(
         &mut self,
         now: Time,
@@ -146,16 +155,17 @@
         is_news: bool,
     ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         let (mut near, mut far) = (Vec::new(), Vec::new());
+        let count = self.known.len();
+        let silence = self.silence();
         for (address, member) in &mut self.known {
             let live = member
                 .heard_at
-                .is_some_and(|heard| now.since(heard) < self.silence);
+                .is_some_and(|heard| now.since(heard) < silence);
             let is_near = member.zone == *zone;
-            let pause = match (live, is_near) {
-                (false, _) => SILENT_BEAT,
-                (true, true) => Duration::ZERO,
-                (true, false) if is_news => Duration::ZERO,
-                (true, false) => FAR_BEAT,
+            let pause = if live {
+                pause(count, is_near, is_news)
+            } else {
+                SILENT_BEAT
             };
             if member.beat_at.is_none_or(|beat| now.since(beat) >= pause) {
                 member.beat_at = Some(now);
@@ -165,13 +175,15 @@
         (near, far)
     }
 
-    /// Whether this instance is the one that probes a target, as far as it knows.
+    /// Whether this instance, in `own_zone`, is the one that probes a target, as far as
+    /// it knows. Instances in the target's zone come first.
     #[must_use]
-    pub fn is_home(&self, now: Time, target: &TargetId) -> bool {
-        let own = weight(self.own, target);
+    pub fn is_home(&self, now: Time, own_zone: &ZoneName, target: &Target) -> bool {
+        let order = |address, zone: &ZoneName| (*zone == target.zone, weight(address, &target.id));
+        let own = order(self.own, own_zone);
         self.live(now)
             .filter(|(_, member)| !member.last.leaving)
-            .all(|(address, _)| weight(address, target) < own)
+            .all(|(address, member)| order(address, &member.zone) < own)
     }
 
     /// This instance's rank for a target among all known instances, live or not, so
@@ -218,10 +230,35 @@
         self.live(now).any(|(_, member)| member.last.watching)
     }
 
+    /// Silence after which an instance counts as gone.
+    fn silence(&self) -> Duration {
+        if self.known.len() >= MANY {
+            MANY_SILENCE.max(self.silence)
+        } else {
+            self.silence
+        }
+    }
+
     fn is_heard(&self, now: Time, member: &Member) -> bool {
         member
             .heard_at
-            .is_some_and(|heard| now.since(heard) < self.silence)
+            .is_some_and(|heard| now.since(heard) < self.silence())
+    }
+}
+
+/// Least time between two beats to a live instance, among `count` others.
+///
+/// Load pattern: a target's slowness matters most to the instances in its zone, which
+/// send it most requests; among many instances those elsewhere do without its news.
+fn pause(count: usize, is_near: bool, is_news: bool) -> Duration {
+    let many = count >= MANY;
+    match (is_near, is_news) {
+        (true, _) if !many => Duration::ZERO,
+        (true, true) => Duration::ZERO,
+        (true, false) => MANY_NEAR_BEAT,
+        (false, true) if !many => Duration::ZERO,
+        (false, _) if !many => FAR_BEAT,
+        (false, _) => MANY_FAR_BEAT,
     }
 }
 
--- a/src/entry/members/tests.rs
+++ b/src/entry/members/tests.rs
@@ -33,13 +33,28 @@
         .collect()
 }
 
+fn target(id: &str, zone: &str) -> Target {
+    Target {
+        id: id.into(),
+        service: "s".into(),
+        address: address(200),
+        zone: zone.into(),
+        slots: 6,
+        leaving: false,
+        cold_for: Duration::ZERO,
+        started_ms: 1,
+    }
+}
+
 #[test]
 fn each_target_has_one_home_where_views_agree() {
     let now = Time::from_secs(1);
     let views = views(14, now);
     for number in 0..50 {
-        let target = TargetId::from(format!("t{number}"));
-        let homes = views.iter().filter(|members| members.is_home(now, &target));
+        let target = target(&format!("t{number}"), "elsewhere");
+        let homes = views
+            .iter()
+            .filter(|members| members.is_home(now, &"a".into(), &target));
         assert_eq!(homes.count(), 1);
     }
 }
@@ -48,23 +63,66 @@
 fn a_silent_home_is_replaced_but_ranks_stay() {
     let now = Time::from_secs(1);
     let mut views = views(5, now);
-    let target = TargetId::from("t");
-    let ranks: Vec<_> = views.iter().map(|members| members.rank(&target)).collect();
+    let target = target("t", "a");
+    let rank = |members: &Members| members.rank(&target.id);
+    let ranks: Vec<_> = views.iter().map(rank).collect();
     let home = ranks.iter().position(|rank| *rank == 0).unwrap();
     let later = now.after(SILENCE);
     for (own, members) in views.iter_mut().enumerate() {
         for other in (0..5).filter(|other| *other != home) {
             members.heard(later, address(u8::try_from(other).unwrap()), &beat(true));
         }
-        assert_eq!(members.rank(&target), ranks[own]);
+        assert_eq!(rank(members), ranks[own]);
     }
     let homes: Vec<_> = (0..5)
-        .filter(|own| *own != home && views[*own].is_home(later, &target))
+        .filter(|own| *own != home && views[*own].is_home(later, &"a".into(), &target))
         .collect();
     assert_eq!(homes.len(), 1);
     assert_eq!(ranks[homes[0]], 1);
 }
 
+#[test]
+fn a_targets_home_is_in_its_zone_while_an_instance_lives_there() {
+    let now = Time::from_secs(1);
+    let mut members = Members::new(address(0), SILENCE, Duration::from_secs(60));
+    for other in 1..14 {
+        let zone = if other < 4 { "b" } else { "a" };
+        let beat = Beat {
+            zone: zone.into(),
+            ..beat(false)
+        };
+        members.heard(now, address(other), &beat);
+    }
+    let in_b = |number: u32| target(&format!("t{number}"), "b");
+    let is_home = |now, number| members.is_home(now, &"a".into(), &in_b(number));
+    assert!((0..50).all(|number| !is_home(now, number)));
+    let alone = now.after(SILENCE);
+    assert!((0..50).all(|number| is_home(alone, number)));
+}
+
+#[test]
+fn beats_of_an_instance_grow_slowly_with_many_others() {
+    let sent_in_three_seconds = |count: u8| {
+        let mut members = Members::new(address(0), SILENCE, Duration::from_secs(60));
+        let mut sent = 0;
+        for tick in 0..30 {
+            let now = Time::from_millis(tick * 100);
+            for other in 1..=count {
+                let zone = if other % 3 == 0 { "a" } else { "b" };
+                let beat = Beat {
+                    zone: zone.into(),
+                    ..beat(false)
+                };
+                members.heard(now, address(other), &beat);
+            }
+            let (near, far) = members.beat_targets(now, &"a".into(), tick % 5 == 0);
+            sent += near.len() + far.len();
+        }
+        sent
+    };
+    assert!(sent_in_three_seconds(135) <= 3 * sent_in_three_seconds(30));
+}
+
 #[test]
 fn an_instance_watches_when_too_few_do_before_it() {
     let now = Time::from_secs(1);
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -439,7 +439,9 @@
         };
         self.fleet
             .views()
-            .filter(|view| !view.is_leaving() && self.members.is_home(now, &view.target.id))
+            .filter(|view| {
+                !view.is_leaving() && self.members.is_home(now, &self.settings.zone, &view.target)
+            })
             .filter_map(|view| {
                 let rules = configuration.services.get(&view.target.service)?;
                 Some((
