--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -7,9 +7,9 @@
 use bytes::BytesMut;
 use siphasher::sip::SipHasher13;
 
+use super::choice::Choice;
 use super::pool::TargetConn;
 use super::shared::Shared;
-use super::state::Choice;
 use super::verdict::Fact;
 use crate::dispatch::quarantine::Fingerprint;
 use crate::http1::client::{Answer, Conn, ExchangeError, Outgoing};
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -7,14 +7,14 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use http::{HeaderMap, HeaderValue};
 
 use super::attempt::{Attempted, Outbound};
+use super::choice::{Choice, NoTarget};
 use super::hedge::{self, Progress};
 use super::model::{Repeat, Route};
+use super::outcome::{COME_BACK, Outcome, Refusal, is_promise, pass_on, reply};
 use super::placement::{self, Need};
 use super::shared::Shared;
-use super::state::{Choice, NoTarget};
 use super::verdict::{self, Fact, History, Next};
 use super::waiting::{Ticket, expected_wait};
 use crate::dispatch::quarantine::{Fingerprint, Verdict};
@@ -24,14 +24,6 @@
 use crate::platform::prepared::wire;
 use crate::units::Time;
 
-/// When to come back after a refusal that no load explains; targets come back and
-/// configurations arrive within fractions of a second.
-const COME_BACK: Duration = Duration::from_millis(250);
-/// When to come back after targets shed a request while the repeat budget was used up:
-/// others may take it at once, and the caller's own repeat is a new request.
-const COME_BACK_SHED: Duration = Duration::from_millis(50);
-/// Shortest and longest time to come back that is told to a caller.
-const COME_BACK_RANGE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
 /// Time between two looks for room where no end of a request announces it.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 /// Time between two looks at whether a second attempt pays; figures of targets come
@@ -40,47 +32,6 @@
 /// Part of the latency objective that work is assumed to take before it is known.
 const ASSUMED_TYPICAL: f64 = 0.35;
 
-/// How a request ended, for the log and the counters.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
-pub(crate) enum Outcome {
-    /// A target's answer was passed on.
-    #[display("answered")]
-    Answered,
-    /// A target's failure was passed on.
-    #[display("target_failed")]
-    TargetFailed,
-    /// No configuration is known yet.
-    #[display("no_configuration")]
-    NoConfiguration,
-    /// No route matches.
-    #[display("no_route")]
-    NoRoute,
-    /// The request is held to crash targets.
-    #[display("quarantined")]
-    Quarantined,
-    /// It was not run, and was refused.
-    #[display("refused")]
-    Refused,
-    /// It may have run, and no answer came.
-    #[display("lost")]
-    Lost,
-    /// Its time was up while it may have been running.
-    #[display("timed_out")]
-    TimedOut,
-}
-
-impl Outcome {
-    /// The answer's status where no target's answer is passed on.
-    fn status(self) -> u16 {
-        match self {
-            Self::NoRoute => 404,
-            Self::NoConfiguration | Self::Refused | Self::Quarantined => 503,
-            Self::TimedOut => 504,
-            Self::Answered | Self::TargetFailed | Self::Lost => 502,
-        }
-    }
-}
-
 /// Serves one request of a caller.
 pub(crate) async fn serve(shared: Arc<Shared>, req: Request) -> Reply {
     let meta = wire::request_meta(&req.headers);
@@ -137,29 +88,6 @@
     pub version: u64,
 }
 
-/// Why a request is refused, and after what time its caller should come back.
-#[derive(Debug, Clone, Copy)]
-struct Refusal {
-    reason: NoTarget,
-    wait: Duration,
-}
-
-impl Refusal {
-    fn new(reason: NoTarget, wait: Duration) -> Self {
-        Self { reason, wait }
-    }
-
-    /// There is no target that could take it, after what it has been through.
-    fn after(history: History, reason: NoTarget) -> Self {
-        let wait = if history.shed > 0 {
-            COME_BACK_SHED
-        } else {
-            COME_BACK
-        };
-        Self::new(reason, wait)
-    }
-}
-
 type Running<'a> = FuturesUnordered<Pin<Box<dyn Future<Output = Attempted> + Send + 'a>>>;
 
 struct Call<'a> {
@@ -536,32 +464,6 @@
     }
 }
 
-/// Statuses by which callers know that a request was not run.
-fn is_promise(status: u16) -> bool {
-    matches!(status, 408 | 421 | 429 | 503)
-}
-
-fn reply(outcome: Outcome, wait: Duration) -> Reply {
-    let mut reply = Reply::empty(outcome.status());
-    if reply.status == 503 {
-        let wait = wait.clamp(COME_BACK_RANGE.0, COME_BACK_RANGE.1);
-        let text = format!("{:.3}", wait.as_secs_f64());
-        if let Ok(value) = HeaderValue::from_str(&text) {
-            reply.headers.insert(http::header::RETRY_AFTER, value);
-        }
-    }
-    reply
-}
-
-fn pass_on(answer: Answer) -> Reply {
-    let headers: HeaderMap = answer.headers;
-    Reply {
-        status: answer.status,
-        headers,
-        body: answer.body,
-    }
-}
-
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -252,13 +252,16 @@
 /// send it most requests; among many instances those elsewhere do without its news.
 fn pause(count: usize, is_near: bool, is_news: bool) -> Duration {
     let many = count >= MANY;
-    match (is_near, is_news) {
-        (true, _) if !many => Duration::ZERO,
-        (true, true) => Duration::ZERO,
-        (true, false) => MANY_NEAR_BEAT,
-        (false, true) if !many => Duration::ZERO,
-        (false, _) if !many => FAR_BEAT,
-        (false, _) => MANY_FAR_BEAT,
+    let regular = match (many, is_near) {
+        (false, true) => Duration::ZERO,
+        (false, false) => FAR_BEAT,
+        (true, true) => MANY_NEAR_BEAT,
+        (true, false) => MANY_FAR_BEAT,
+    };
+    if is_news && (is_near || !many) {
+        Duration::ZERO
+    } else {
+        regular
     }
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 //! See `docs/design/prepared-platform.md`.
 
 mod attempt;
+mod choice;
 mod control;
 pub(crate) mod directory;
 pub(crate) mod fleet;
@@ -16,6 +17,7 @@
 pub(crate) mod message;
 mod metrics;
 pub(crate) mod model;
+mod outcome;
 mod peers;
 pub(crate) mod placement;
 mod pool;
--- a/src/entry/sync/tests.rs
+++ b/src/entry/sync/tests.rs
@@ -3,7 +3,7 @@
 
 /// After the store's return a configuration must be in force everywhere within this:
 /// the time in which instances count as out of touch, and the bound itself.
-const BOUND: Duration = Duration::from_millis(3000 + 2000);
+const BOUND: Duration = Duration::from_secs(3 + 2);
 
 /// Longest time from the store's return until a watcher hears of a change, when its
 /// watch was opened just before the return and stays silent.
