--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -38,8 +38,8 @@
     /// The service has no target that may be used at all.
     #[display("no usable target")]
     None,
-    /// Every usable target is full, cold or out of connections.
-    #[display("every target is full")]
+    /// No usable target has room in which the request can end within its objective.
+    #[display("no room within the objective")]
     Full,
     /// Every target left was tried already.
     #[display("every target was tried")]
