--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -261,3 +261,6 @@
     tracing::info!(open = open.load(Ordering::Relaxed), "stopped");
     lines::flush();
 }
+
+#[cfg(test)]
+mod tests;
