--- a/src/entry/run/tests.rs
+++ b/src/entry/run/tests.rs
@@ -12,7 +12,8 @@
 fn no_request_is_taken_that_a_stop_could_cut() {
     assert!(GRACE.mul_f64(CLOSE_PART) <= MAY_RUN_ON);
     // What still runs then has until the last sixth of the grace.
-    assert!(END_PART >= 5.0 / 6.0 && END_PART < 1.0);
+    let end = GRACE.mul_f64(END_PART);
+    assert!(end >= GRACE * 5 / 6 && end < GRACE);
 }
 
 #[test]
