Give up shards that others took before a new lease lets an owner grant

Cause of the red test (a target ran 7 calls on 6 slots after a paused owner had woken): the owner's control loop got a new lease, and with it the right to grant, while its table still held the shard that another instance had taken; the table followed the claims only at the end of that step. A trial with the source and end of each permit in the log showed it: eight calls on own permits, good until 1.8 s later, 40 ms after waking.

Change: shards that others have taken are given up before the new lease counts, and a permit of a shard that was given up counts no longer.

Test: an_owner_that_wakes_to_a_slow_store_grants_nothing_of_a_shard_it_lost failed three times of three before (8 calls on 6 slots), passed three of three after.

--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -83,9 +83,11 @@
     /// Makes a lease and confirms under it every claim that this run holds.
     ///
     /// Each claim is written anew, so that whoever wants it sees that evidence
-    /// from before is void.
+    /// from before is void. Shards that others have taken meanwhile are given up
+    /// first: the new lease lets this run grant again.
     async fn new_lease(&mut self) -> Result<(), StoreError> {
         self.refresh_directory().await?;
+        self.update_shards();
         let tables = &self.instance.tables;
         let ttl = tables.settings.membership.lease;
         let sent = tables.clock.now();
--- a/src/dispatch/permits.rs
+++ b/src/dispatch/permits.rs
@@ -307,7 +307,11 @@
     /// as an owner, a borrowed one until its owner frees it.
     pub(crate) fn counts_until(&self, instance: &Instance) -> Time {
         match &self.source {
-            Source::Own(_) => instance.tables.lease().valid_until(),
+            Source::Own(owned) if instance.tables.owns(&self.shard, owned) => {
+                instance.tables.lease().valid_until()
+            }
+            // The shard was given up after the permit was granted.
+            Source::Own(_) => Time::ZERO,
             Source::Peer(_) => self.end,
         }
     }
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -227,6 +227,14 @@
         shards.get(shard).cloned()
     }
 
+    /// Whether `owned` is still this instance's; a shard that was given up and taken
+    /// again is another one.
+    #[must_use]
+    pub fn owns(&self, shard: &ShardId, owned: &Arc<OwnedShard>) -> bool {
+        let present = self.owned(shard);
+        present.is_some_and(|present| Arc::ptr_eq(&present, owned))
+    }
+
     /// Every shard that this instance owns.
     #[must_use]
     pub fn owned_shards(&self) -> Vec<(ShardId, Arc<OwnedShard>)> {
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -266,6 +266,38 @@
     fleet.check(&outcomes);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_wakes_to_a_slow_store_grants_nothing_of_a_shard_it_lost() {
+    let fleet = Fleet::start().await;
+    let load = Load::start(&fleet.addresses());
+    fleet.works_again("a").await;
+    fleet.signal(0, Signal::STOP);
+    fleet.taken_from_one().await;
+    fleet.works_again("a").await;
+    // Its new lease is there well before its next read of the claims.
+    let delay = Duration::from_millis(150);
+    fleet
+        .platform
+        .store
+        .faults
+        .change(|faults| faults.delay = delay);
+    fleet.signal(0, Signal::CONT);
+    eventually("the woken instance is a member again", || async {
+        let members = fleet
+            .platform
+            .store
+            .keys("/wagtailsaddle/directory/members/");
+        members
+            .iter()
+            .any(|key| key.contains("/one/"))
+            .then_some(())
+    })
+    .await;
+    tokio::time::sleep(delay * 4).await;
+    let outcomes = load.stop().await;
+    fleet.check(&outcomes);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn service_goes_on_while_the_store_is_down() {
     let fleet = Fleet::start().await;
