Ask peers of other zones for their targets' figures while the own zone lacks room

Also, whether the own zone was told of a change was judged by what other zones had been told: a target that turned slow twice within a second was told late the second time.

Ruled out: lack of slots (half are in use), placement by reports (every choice read "usual speed, slots free", the reports were old or missing).

Change: an instance whose zone has no usable target of a service, or too few slots free, asks one peer in each zone with room for a digest, each 200 ms; news for the own zone and for others is told apart.

--- /dev/null
+++ b/src/entry/digest.rs
@@ -0,0 +1,86 @@
+//! Figures of other zones' targets, asked for while the own zone's don't suffice.
+//!
+//! Load pattern: a zone's targets are taken out, or its callers grow many, and its
+//! instances send their requests to targets elsewhere. Among many instances the
+//! seldom beats between zones are too old to tell which of those are slow. One peer in
+//! each such zone, another each time, is then asked for all that it knows.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::message::{Finding, MAX_REPORTS};
+use super::state::State;
+use crate::names::{ServiceName, ZoneName};
+use crate::units::Time;
+
+/// Part of the own zone's slots in use beyond which other zones are asked: beyond it
+/// a request finds the targets that are not slow full, with a quarter being slow.
+const CROWDED: f64 = 0.6;
+
+/// Time between two questions to a zone: targets' figures change several times a second,
+/// and bytes between zones are dear.
+pub(crate) const ASK_EVERY: Duration = Duration::from_millis(200);
+
+/// Slots of a service's usable targets in one zone.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ZoneRoom {
+    /// Slots in all.
+    pub slots: f64,
+    /// Requests that run or wait there.
+    pub occupied: f64,
+}
+
+/// The zones whose figures are worth asking for, by what each service has in each:
+/// those with room, where the own zone has none to spare or none at all.
+#[must_use]
+pub fn zones_to_ask(
+    own: &ZoneName,
+    services: &IndexMap<ServiceName, IndexMap<ZoneName, ZoneRoom>>,
+) -> IndexSet<ZoneName> {
+    let is_crowded = |room: &ZoneRoom| room.occupied >= room.slots * CROWDED;
+    services
+        .values()
+        .filter(|zones| zones.get(own).is_none_or(is_crowded))
+        .flat_map(|zones| {
+            let needed = !zones.contains_key(own);
+            zones
+                .iter()
+                .filter(move |(_, room)| needed || !is_crowded(room))
+        })
+        .map(|(zone, _)| zone)
+        .filter(|zone| *zone != own)
+        .cloned()
+        .collect()
+}
+
+impl State {
+    /// The peers to ask for their zone's figures now; `draw` in `0.0..1.0` picks one
+    /// in each zone.
+    pub(crate) fn peers_to_ask(&mut self, now: Time, draw: f64) -> Vec<SocketAddr> {
+        if !self.members.are_many() || now.since(self.asked_at) < ASK_EVERY {
+            return Vec::new();
+        }
+        self.asked_at = now;
+        let zones = zones_to_ask(&self.settings.zone, &self.fleet.rooms(now));
+        let pick = |zone| self.members.one_of_zone(now, zone, draw);
+        zones.iter().filter_map(pick).collect()
+    }
+
+    /// What this instance knows of its zone's targets, in parts that fit a datagram.
+    pub(crate) fn digest(&self, now: Time) -> Vec<Vec<Finding>> {
+        let findings = self.fleet.findings(now, &self.settings.zone);
+        findings.chunks(MAX_REPORTS).map(<[_]>::to_vec).collect()
+    }
+
+    /// Takes in what a peer knows of its zone's targets.
+    pub(crate) fn take_digest(&mut self, now: Time, findings: &[Finding]) {
+        for finding in findings {
+            self.fleet.note_finding(now, finding);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -6,6 +6,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::digest::ZoneRoom;
 use super::load::{Load, Report};
 use super::members::target_key;
 use super::message::{Finding, Health};
@@ -228,6 +229,20 @@
         }
     }
 
+    /// What its last report and probe say, for peers; `None` without a recent report.
+    fn finding(&self, now: Time) -> Option<Finding> {
+        let report = self.report?;
+        let age = now.since(report.at);
+        let cold_for = self.cold_until.since(now);
+        (age <= REPORT_AGE).then(|| Finding {
+            target: self.key,
+            load: Some(report.load),
+            cold_ms: u32::try_from(cold_for.as_millis()).unwrap_or(u32::MAX),
+            health: self.health,
+            age_ms: u16::try_from(age.as_millis()).unwrap_or(u16::MAX),
+        })
+    }
+
     /// Whether it can't be reached. Its home's probes count only while this instance
     /// has no answer of its own.
     fn is_down(&self, now: Time) -> bool {
@@ -358,6 +373,35 @@
         (views, &self.evacuated)
     }
 
+    /// The slots of the targets that may be used, by service and zone.
+    #[must_use]
+    pub fn rooms(&self, now: Time) -> IndexMap<ServiceName, IndexMap<ZoneName, ZoneRoom>> {
+        let mut rooms: IndexMap<ServiceName, IndexMap<ZoneName, ZoneRoom>> = IndexMap::new();
+        for view in self.views.values().filter(|view| self.is_usable(now, view)) {
+            let zones = rooms.entry(view.target.service.clone()).or_default();
+            let room = zones.entry(view.target.zone.clone()).or_default();
+            room.slots += f64::from(view.target.slots);
+            room.occupied += view.occupied();
+        }
+        rooms
+    }
+
+    fn is_usable(&self, now: Time, view: &View) -> bool {
+        let gone = view.target.leaving || view.gone_at.is_some();
+        !gone && !view.is_down(now) && !self.evacuated.contains(&view.target.zone)
+    }
+
+    /// What is known of a zone's targets by recent reports. Those that could not be
+    /// reached are left out: the same finding told twice would count twice.
+    #[must_use]
+    pub fn findings(&self, now: Time, zone: &ZoneName) -> Vec<Finding> {
+        self.views
+            .values()
+            .filter(|view| view.target.zone == *zone && view.health != Health::Unreachable)
+            .filter_map(|view| view.finding(now))
+            .collect()
+    }
+
     /// Where the target listens that datagrams call `key`.
     #[must_use]
     pub fn address_of(&self, key: u64) -> Option<SocketAddr> {
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -9,6 +9,7 @@
 
 use super::message::Beat;
 use super::model::Target;
+use super::placement::pick;
 use crate::names::{TargetId, ZoneName};
 use crate::units::Time;
 
@@ -64,6 +65,15 @@
     pub version: u64,
 }
 
+/// Whether the next beat has news for the peers in the own zone, and for the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct News {
+    /// For those in the own zone.
+    pub near: bool,
+    /// For those elsewhere.
+    pub far: bool,
+}
+
 /// The other instances by peer address.
 #[derive(Debug, Clone)]
 pub struct Members {
@@ -152,7 +162,7 @@
         &mut self,
         now: Time,
         zone: &ZoneName,
-        is_news: bool,
+        news: News,
     ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         let (mut near, mut far) = (Vec::new(), Vec::new());
         let count = self.known.len();
@@ -163,7 +173,7 @@
                 .is_some_and(|heard| now.since(heard) < silence);
             let is_near = member.zone == *zone;
             let pause = if live {
-                pause(count, is_near, is_news)
+                pause(count, is_near, if is_near { news.near } else { news.far })
             } else {
                 SILENT_BEAT
             };
@@ -230,9 +240,26 @@
         self.live(now).any(|(_, member)| member.last.watching)
     }
 
+    /// Whether so many instances are known that beats between them are spared.
+    #[must_use]
+    pub fn are_many(&self) -> bool {
+        self.known.len() >= MANY
+    }
+
+    /// One of the live instances of a zone; `draw` in `0.0..1.0` picks it.
+    #[must_use]
+    pub fn one_of_zone(&self, now: Time, zone: &ZoneName, draw: f64) -> Option<SocketAddr> {
+        let of_zone: Vec<SocketAddr> = self
+            .live(now)
+            .filter(|(_, member)| member.zone == *zone)
+            .map(|(address, _)| address)
+            .collect();
+        of_zone.get(pick(of_zone.len(), draw)).copied()
+    }
+
     /// Silence after which an instance counts as gone.
     fn silence(&self) -> Duration {
-        if self.known.len() >= MANY {
+        if self.are_many() {
             MANY_SILENCE.max(self.silence)
         } else {
             self.silence
--- a/src/entry/members/tests.rs
+++ b/src/entry/members/tests.rs
@@ -6,6 +6,13 @@
     ([10, 0, 0, number], 7000).into()
 }
 
+fn news(is_news: bool) -> News {
+    News {
+        near: is_news,
+        far: is_news,
+    }
+}
+
 fn beat(watching: bool) -> Beat {
     Beat {
         zone: "a".into(),
@@ -115,7 +122,7 @@
                 };
                 members.heard(now, address(other), &beat);
             }
-            let (near, far) = members.beat_targets(now, &"a".into(), tick % 5 == 0);
+            let (near, far) = members.beat_targets(now, &"a".into(), news(tick % 5 == 0));
             sent += near.len() + far.len();
         }
         sent
@@ -150,7 +157,7 @@
                 };
                 members.heard(now, address(1), &beat);
             }
-            let (near, far) = members.beat_targets(now, &"a".into(), is_news);
+            let (near, far) = members.beat_targets(now, &"a".into(), news(is_news));
             near.len() + far.len() == 1
         })
         .count()
--- a/src/entry/message.rs
+++ b/src/entry/message.rs
@@ -86,6 +86,17 @@
     pub cases: Vec<Case>,
 }
 
+/// What one datagram holds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// A sign of life.
+    Beat(Beat),
+    /// What do you know of your zone's targets?
+    DigestWanted,
+    /// A part of the answer to that.
+    Digest(Vec<Finding>),
+}
+
 /// A question over TCP.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Question {
--- a/src/entry/message/tests.rs
+++ b/src/entry/message/tests.rs
@@ -83,7 +83,8 @@
             MAX_CASES
         ],
     };
+    let beat = Datagram::Beat(beat);
     let bytes = encode(&beat).unwrap();
     assert!(bytes.len() <= MAX_DATAGRAM, "{}", bytes.len());
-    assert_eq!(decode::<Beat>(&bytes).unwrap(), beat);
+    assert_eq!(decode::<Datagram>(&bytes).unwrap(), beat);
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod choice;
 mod control;
+pub(crate) mod digest;
 pub(crate) mod directory;
 pub(crate) mod fleet;
 mod forward;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::Rng;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
-use super::message::{self, Beat, MAX_DATAGRAM, MAX_FRAME, Question, Reply};
+use super::message::{self, Datagram, MAX_DATAGRAM, MAX_FRAME, Question, Reply};
 use super::probe::Probes;
 use super::replica::Delta;
 use super::shared::Shared;
@@ -33,6 +34,7 @@
         probes.start_round();
         tokio::time::sleep(PROBE_WAIT).await;
         send_beat(&shared, &socket, false);
+        ask_for_digests(&shared, &socket);
         let now = shared.now();
         let gone = {
             let mut state = shared.state();
@@ -51,23 +53,34 @@
 pub(crate) fn send_beat(shared: &Shared, socket: &UdpSocket, all: bool) {
     let now = shared.now();
     let (beat, peers) = shared.state().beat(now, all);
-    let bytes = match message::encode(&beat) {
+    send(socket, &Datagram::Beat(beat), &peers);
+}
+
+/// Asks peers in zones whose targets this instance needs for what they know of them.
+fn ask_for_digests(shared: &Shared, socket: &UdpSocket) {
+    let now = shared.now();
+    let peers = shared.state().peers_to_ask(now, rand::rng().random());
+    send(socket, &Datagram::DigestWanted, &peers);
+}
+
+fn send(socket: &UdpSocket, datagram: &Datagram, peers: &[SocketAddr]) {
+    let bytes = match message::encode(datagram) {
         Ok(bytes) => bytes,
         Err(err) => {
-            tracing::warn!(%err, "a beat can't be encoded");
+            tracing::warn!(%err, "a datagram can't be encoded");
             return;
         }
     };
     for peer in peers {
-        // A full socket or an unreachable peer costs this one beat.
-        if let Err(err) = socket.try_send_to(&bytes, peer) {
-            tracing::debug!(%peer, %err, "beat not sent");
+        // A full socket or an unreachable peer costs this one datagram.
+        if let Err(err) = socket.try_send_to(&bytes, *peer) {
+            tracing::debug!(%peer, %err, "datagram not sent");
         }
     }
 }
 
-/// Takes in beats, until the process ends.
-pub(crate) async fn receive_beats(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+/// Takes in datagrams, until the process ends.
+pub(crate) async fn receive_datagrams(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM * 2];
     loop {
         let (length, from) = match socket.recv_from(&mut buf).await {
@@ -77,12 +90,25 @@
                 continue;
             }
         };
-        match message::decode::<Beat>(&buf[..length]) {
-            Ok(beat) => {
-                let now = shared.now();
-                shared.state().heard(now, from, &beat);
+        match message::decode(&buf[..length]) {
+            Ok(datagram) => take(&shared, &socket, from, datagram),
+            Err(err) => tracing::debug!(%from, %err, "not a peer's datagram"),
+        }
+    }
+}
+
+fn take(shared: &Shared, socket: &UdpSocket, from: SocketAddr, datagram: Datagram) {
+    let now = shared.now();
+    let mut state = shared.state();
+    match datagram {
+        Datagram::Beat(beat) => state.heard(now, from, &beat),
+        Datagram::Digest(findings) => state.take_digest(now, &findings),
+        Datagram::DigestWanted => {
+            let parts = state.digest(now);
+            drop(state);
+            for part in parts {
+                send(socket, &Datagram::Digest(part), &[from]);
             }
-            Err(err) => tracing::debug!(%from, %err, "not a beat"),
         }
     }
 }
--- a/src/entry/placement.rs
+++ b/src/entry/placement.rs
@@ -190,13 +190,14 @@
     near.get(pick(near.len(), draw)).copied()
 }
 
+/// An index below `count` for a `draw` in `0.0..1.0`.
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
     clippy::cast_precision_loss,
-    reason = "an index among a service's targets"
+    reason = "an index among some thousand"
 )]
-fn pick(count: usize, draw: f64) -> usize {
+pub(crate) fn pick(count: usize, draw: f64) -> usize {
     ((draw * count as f64) as usize).min(count.saturating_sub(1))
 }
 
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -63,7 +63,7 @@
     let (stop_tx, stop) = watch::channel(Stop::Serving);
     let open = Arc::new(AtomicUsize::new(0));
     let socket = Arc::new(listeners.datagrams);
-    tokio::spawn(peers::receive_beats(shared.clone(), socket.clone()));
+    tokio::spawn(peers::receive_datagrams(shared.clone(), socket.clone()));
     tokio::spawn(peers::beat(shared.clone(), socket.clone()));
     tokio::spawn(peers::answer_questions(shared.clone(), listeners.questions));
     tokio::spawn(peers::follow(shared.clone()));
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -12,7 +12,7 @@
 
 use super::directory::{self, Entry};
 use super::fleet::Fleet;
-use super::members::{Members, Standing};
+use super::members::{Members, News, Standing};
 use super::message::{Beat, Finding, Health, MAX_CASES, MAX_REPORTS};
 use super::model::{CallerBounds, Record, Route};
 use super::replica::{Applied, Delta, Replica};
@@ -67,8 +67,12 @@
     pub standing: Standing,
     /// Findings of its own probes, newest last.
     findings: IndexMap<u64, (Time, Finding)>,
+    /// What peers in the own zone were told of them.
+    told_near: IndexMap<u64, Finding>,
     /// What peers in other zones were told of them.
     told_far: IndexMap<u64, Finding>,
+    /// When other zones' figures were last asked for.
+    pub asked_at: Time,
     beats: usize,
     budgets: IndexMap<ServiceName, RepeatBudget>,
     dealers: IndexMap<Arc<str>, Dealer>,
@@ -106,7 +110,9 @@
             quarantine,
             typical: Typical::default(),
             findings: IndexMap::new(),
+            told_near: IndexMap::new(),
             told_far: IndexMap::new(),
+            asked_at: Time::ZERO,
             beats: 0,
             budgets: IndexMap::new(),
             dealers: IndexMap::new(),
@@ -302,17 +308,18 @@
     pub(crate) fn beat(&mut self, now: Time, all: bool) -> (Beat, Vec<SocketAddr>) {
         self.findings
             .retain(|_, (at, _)| now.since(*at) < FINDING_AGE);
-        let is_news = all
-            || self.findings.values().any(|(_, finding)| {
-                self.told_far
-                    .get(&finding.target)
-                    .is_none_or(|told| finding.is_news(told))
-            });
+        let news = News {
+            near: all || self.has_news(&self.told_near),
+            far: all || self.has_news(&self.told_far),
+        };
         let zone = self.settings.zone.clone();
-        let (near, far) = self.members.beat_targets(now, &zone, is_news);
+        let (near, far) = self.members.beat_targets(now, &zone, news);
+        let told = || self.findings.values().map(|(_, told)| (told.target, *told));
+        if !near.is_empty() {
+            self.told_near = told().collect();
+        }
         if !far.is_empty() {
-            let told = self.findings.values().map(|(_, told)| (told.target, *told));
-            self.told_far = told.collect();
+            self.told_far = told().collect();
         }
         let findings = self
             .findings
@@ -335,6 +342,15 @@
         (beat, [near, far].concat())
     }
 
+    /// Whether peers that were told `told` should learn of the present findings.
+    fn has_news(&self, told: &IndexMap<u64, Finding>) -> bool {
+        let mut findings = self.findings.values();
+        findings.any(|(_, finding)| {
+            told.get(&finding.target)
+                .is_none_or(|told| finding.is_news(told))
+        })
+    }
+
     /// Every few beats, one of the live peers, each in turn.
     fn name_member(&self, now: Time) -> Option<(SocketAddr, ZoneName)> {
         if !self.beats.is_multiple_of(NAME_EVERY) {
