Use the whole slack of the repeat budget, and none of it right after a restart

The half allowed for an instance that was started again and used its part once more.

Ruled out: another rule for when a second attempt pays.

Change: an instance that was started again leaves the slack alone until no window holds what it used before, and then uses its whole part.

Test: the_whole_slack_is_used_and_not_once_more_after_a_restart; with the former half, 8 of 16 were taken. The property over replaced instances now uses the whole slack and still holds.

--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -8,7 +8,7 @@
 use super::fleet::{Unusable, View};
 use super::placement::{self, Candidate, Need};
 use super::state::State;
-use super::window::cold_allowance;
+use super::window::{LEARN_MEMBERS, cold_allowance};
 use crate::names::{ServiceName, TargetId};
 use crate::units::Time;
 
@@ -16,9 +16,6 @@
 const CONNECTION_PART: f64 = 0.8;
 /// Connections to a target that an instance has at least.
 const MIN_CONNECTIONS: usize = 2;
-/// Time after a start in which other instances are not known yet; nothing is sent to
-/// cold targets then.
-const LEARN_MEMBERS: Duration = Duration::from_millis(1200);
 /// A target that was chosen, with what the choice rested on.
 #[derive(Debug, Clone)]
 pub(crate) struct Choice {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -20,14 +20,11 @@
 use super::settings::{EntrySettings, Tuning};
 use super::typical::Typical;
 use super::waiting::Line;
-use super::window::{RepeatBudget, RepeatRule};
+use super::window::{RepeatBudget, RepeatRule, slack_part};
 use crate::dispatch::quarantine::{Quarantine, QuarantineSettings};
 use crate::names::{ServiceName, TargetId, ZoneName};
 use crate::units::Time;
 
-/// Times that an instance may use its part of the slack within a window: once, and
-/// once more after it was started again and has forgotten the first.
-const SLACK_TIMES: f64 = 2.0;
 /// Part of the repeat ratio that is used; the rest allows for callers that move to
 /// another instance within a window and so count at both.
 const REPEAT_PART: f64 = 0.85;
@@ -81,6 +78,8 @@
     registered: IndexMap<Arc<str>, SocketAddr>,
     /// When the process started.
     pub started: Time,
+    /// Whether the whole system started with it.
+    first_start: bool,
     watched_at: Time,
     outage_until: Time,
 }
@@ -101,6 +100,7 @@
                 callers: Some(settings.callers),
                 ..Standing::default()
             },
+            first_start: settings.first_start,
             settings: Arc::new(settings),
             tuning,
             replica: Replica::default(),
@@ -213,16 +213,26 @@
 
     /// Takes a repeat from the budget of a service.
     pub(crate) fn take_repeat(&mut self, now: Time, service: &ServiceName) -> bool {
-        let rule = self.repeat_rule();
+        let rule = self.repeat_rule(now);
         let budget = self.budgets.entry(service.clone()).or_default();
         budget.take(now, rule)
     }
 
-    fn repeat_rule(&self) -> RepeatRule {
+    fn repeat_rule(&self, now: Time) -> RepeatRule {
+        let settings = &self.settings;
+        let window = settings.repeat_window;
+        let age = now.since(self.started);
+        let instances = self.instances();
         RepeatRule {
-            ratio: self.settings.repeat_ratio * REPEAT_PART,
-            window: self.settings.repeat_window,
-            slack: self.settings.repeat_slack / (self.instances() * SLACK_TIMES),
+            ratio: settings.repeat_ratio * REPEAT_PART,
+            window,
+            slack: slack_part(
+                settings.repeat_slack,
+                instances,
+                age,
+                window,
+                self.first_start,
+            ),
         }
     }
 
--- a/src/entry/window.rs
+++ b/src/entry/window.rs
@@ -5,6 +5,10 @@
 
 use crate::units::Time;
 
+/// Time after a start in which other instances are not known yet, and parts of what
+/// all instances share can't be told.
+pub const LEARN_MEMBERS: Duration = Duration::from_millis(1200);
+
 /// Events of one kind in a sliding window.
 #[derive(Debug, Clone, Default)]
 pub struct Window {
@@ -53,6 +57,30 @@
     pub slack: f64,
 }
 
+/// Part of a window, beyond the whole, for which an instance that was started again
+/// leaves the slack alone: a repeat counts when it arrives.
+const ARRIVAL_MARGIN: f64 = 0.1;
+
+/// This instance's part of a slack for all `instances` together, `age` after its start.
+///
+/// One that was started again has forgotten what it used of the slack before, and
+/// uses nothing of it until those repeats are in no window any more. `first_start`
+/// says that the whole system started with it.
+#[must_use]
+pub fn slack_part(
+    slack: f64,
+    instances: f64,
+    age: Duration,
+    window: Duration,
+    first_start: bool,
+) -> f64 {
+    let forgotten = !first_start && age < window.mul_f64(1.0 + ARRIVAL_MARGIN);
+    if forgotten || age < LEARN_MEMBERS {
+        return 0.0;
+    }
+    slack / instances
+}
+
 /// Cells into which the ends of the windows that hold a repeat are sorted. More cells
 /// waste less of the budget: one part in as many.
 const CELLS: u32 = 20;
--- a/src/entry/window/tests.rs
+++ b/src/entry/window/tests.rs
@@ -63,16 +63,14 @@
 #[test]
 fn all_instances_together_keep_the_bound_while_they_are_replaced() {
     let mut budgets = vec![RepeatBudget::default(); 8];
+    let mut started = [Time::ZERO; 8];
     let (mut requests, mut repeats) = (Vec::new(), Vec::new());
-    let part = RepeatRule {
-        ratio: 0.2 * 0.85,
-        ..rule(8.0 / 16.0)
-    };
     for tick in 0..6_000_u64 {
         let now = Time::from_millis(tick * 10);
         let stopped = usize::try_from(tick / 200 % 8).unwrap();
         if tick % 200 == 0 {
             budgets[stopped] = RepeatBudget::default();
+            started[stopped] = now;
         }
         let mut own = usize::try_from(tick % 8).unwrap();
         if own == stopped {
@@ -80,6 +78,12 @@
         }
         budgets[own].request(now);
         requests.push(now);
+        let is_first = started[own] == Time::ZERO;
+        let age = now.since(started[own]);
+        let part = RepeatRule {
+            ratio: 0.2 * 0.85,
+            ..rule(slack_part(8.0, 8.0, age, Duration::from_secs(10), is_first))
+        };
         if budgets[own].take(now, part) {
             repeats.push(now);
         }
@@ -88,6 +92,29 @@
     assert!(!is_exceeded(&requests, &repeats, 8.0));
 }
 
+/// Servers fail for a moment at a first start, and once more after every instance was
+/// started again. The whole slack is used each time, and no more.
+#[test]
+fn the_whole_slack_is_used_and_not_once_more_after_a_restart() {
+    let window = Duration::from_secs(10);
+    let taken = |budgets: &mut [RepeatBudget], now: Time, started: Time, first_start| -> usize {
+        let part = slack_part(16.0, 8.0, now.since(started), window, first_start);
+        budgets
+            .iter_mut()
+            .map(|budget| (0..20).filter(|_| budget.take(now, rule(part))).count())
+            .sum()
+    };
+    let mut budgets = vec![RepeatBudget::default(); 8];
+    assert_eq!(
+        taken(&mut budgets, Time::from_secs(5), Time::ZERO, true),
+        16
+    );
+    let restart = Time::from_secs(6);
+    let mut budgets = vec![RepeatBudget::default(); 8];
+    assert_eq!(taken(&mut budgets, Time::from_secs(15), restart, false), 0);
+    assert_eq!(taken(&mut budgets, Time::from_secs(18), restart, false), 16);
+}
+
 #[test]
 fn steady_traffic_may_use_nearly_the_whole_ratio() {
     let mut budget = RepeatBudget::default();
