--- /dev/null
+++ b/standin/src/prepared/settings.rs
@@ -0,0 +1,68 @@
+//! The settings file that the platform writes for an entry instance.
+
+use std::net::{IpAddr, SocketAddr};
+
+/// Port for callers; each instance has an address of its own.
+pub const CALLERS: u16 = 8381;
+/// Port for readiness checks.
+pub const READINESS: u16 = 8388;
+/// Port of the directory.
+pub const DIRECTORY: u16 = 8383;
+/// Port for peers.
+pub const PEERS: u16 = 7200;
+
+/// The file of one instance.
+#[must_use]
+pub fn entry_settings(number: usize, ip: IpAddr, store: SocketAddr) -> String {
+    format!(
+        r#"{{
+    "node_name": "entry-{number}", "ip": "{ip}", "zone": "a", "zones": {{"a": "r"}},
+    "listen": {{"front": "{ip}:{CALLERS}", "ready": "{ip}:{READINESS}", "directory": "{ip}:{DIRECTORY}"}},
+    "port_range": [{PEERS}, {PEERS}], "seeds": [], "bootstrap": true,
+    "bounds": {{"drain_ms": 2000, "grace_s": 6, "retry_budget_ratio": 0.2, "budget_window_s": 10,
+        "budget_slack": 58, "cold_over": 1.5, "cold_slack": 5, "ttl_max_s": 5, "probes_per_s": 60}},
+    "platform": {{"address": "{store}", "ttl_min_ms": 1000}}
+}}"#
+    )
+}
+
+/// A configuration of one service `s` with these path prefixes; `/once/` may run once
+/// only.
+#[must_use]
+pub fn configuration(version: u64, prefixes: &[&str], timeout_ms: u64) -> String {
+    let rows: Vec<serde_json::Value> = prefixes
+        .iter()
+        .map(|prefix| {
+            let kind = if *prefix == "/once/" {
+                "unsafe"
+            } else {
+                "safe"
+            };
+            serde_json::json!([
+                prefix,
+                "x.example",
+                prefix,
+                kind,
+                timeout_ms,
+                500,
+                1,
+                null,
+                2,
+                "s"
+            ])
+        })
+        .collect();
+    serde_json::json!({
+        "version": format!("r{version}"),
+        "routes": {
+            "columns": ["name", "host", "prefix", "type", "timeout_ms", "target_latency_ms",
+                "priority", "traffic_split", "max_attempts", "service"],
+            "rows": rows,
+        },
+        "services": {
+            "columns": ["name", "health_path", "max_connections", "warmup_s", "warmup_per_s"],
+            "rows": [["s", "/health", 220, 3.0, 21.0]],
+        },
+    })
+    .to_string()
+}
--- a/tests/entry_world/mod.rs
+++ b/tests/entry_world/mod.rs
@@ -9,17 +9,14 @@
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::{Value, json};
+use serde_json::Value;
+use standin::prepared::settings::{CALLERS, DIRECTORY, READINESS, configuration, entry_settings};
 use standin::prepared::store::StoreStandin;
 use standin::prepared::target::{Behaviour, TargetStandin};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-/// Ports of every instance; each has an address of its own.
-const CALLERS: u16 = 8381;
-const READINESS: u16 = 8388;
-const DIRECTORY: u16 = 8383;
-const PEERS: u16 = 7200;
+/// Port of the metrics of every instance; each has an address of its own.
 const METRICS: u16 = 9464;
 /// Longest wait for anything; only a fault takes as long.
 const LIMIT: Duration = Duration::from_secs(30);
@@ -96,7 +93,7 @@
             let [_, _, high, low] = pid.to_be_bytes();
             let ip = IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, own));
             let settings = world.folder.path().join(format!("{number}.json"));
-            let text = settings_text(number, ip, world.store.address());
+            let text = entry_settings(number, ip, world.store.address());
             std::fs::write(&settings, text).unwrap();
             world.instances.push(Instance {
                 ip,
@@ -173,42 +170,8 @@
     }
 
     fn put_configuration(&self, version: u64, prefixes: &[&str], timeout_ms: u64) {
-        let rows: Vec<Value> = prefixes
-            .iter()
-            .map(|prefix| {
-                let kind = if *prefix == "/once/" {
-                    "unsafe"
-                } else {
-                    "safe"
-                };
-                json!([
-                    prefix,
-                    "x.example",
-                    prefix,
-                    kind,
-                    timeout_ms,
-                    500,
-                    1,
-                    null,
-                    2,
-                    "s"
-                ])
-            })
-            .collect();
-        let configuration = json!({
-            "version": format!("r{version}"),
-            "routes": {
-                "columns": ["name", "host", "prefix", "type", "timeout_ms", "target_latency_ms",
-                    "priority", "traffic_split", "max_attempts", "service"],
-                "rows": rows,
-            },
-            "services": {
-                "columns": ["name", "health_path", "max_connections", "warmup_s", "warmup_per_s"],
-                "rows": [["s", "/health", 220, 3.0, 21.0]],
-            },
-        });
-        self.store
-            .put("op/config", configuration.to_string().as_bytes());
+        let configuration = configuration(version, prefixes, timeout_ms);
+        self.store.put("op/config", configuration.as_bytes());
     }
 
     pub fn put_target(&self, number: usize, leaving: bool) {
@@ -426,16 +389,3 @@
         body,
     })
 }
-
-fn settings_text(number: usize, ip: IpAddr, store: SocketAddr) -> String {
-    format!(
-        r#"{{
-    "node_name": "entry-{number}", "ip": "{ip}", "zone": "a", "zones": {{"a": "r"}},
-    "listen": {{"front": "{ip}:{CALLERS}", "ready": "{ip}:{READINESS}", "directory": "{ip}:{DIRECTORY}"}},
-    "port_range": [{PEERS}, {PEERS}], "seeds": [], "bootstrap": true,
-    "bounds": {{"drain_ms": 2000, "grace_s": 6, "retry_budget_ratio": 0.2, "budget_window_s": 10,
-        "budget_slack": 58, "cold_over": 1.5, "cold_slack": 5, "ttl_max_s": 5, "probes_per_s": 60}},
-    "platform": {{"address": "{store}", "ttl_min_ms": 1000}}
-}}"#
-    )
-}
