--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -27,6 +27,8 @@
 const START: Duration = Duration::from_secs(3);
 /// Time after which no request may reach a target that left.
 const LEFT: Duration = Duration::from_secs(2);
+/// End of a fault that goes on; later than any time of a run.
+const STILL_DISTURBED: Duration = Duration::from_secs(1 << 32);
 /// The repeat budget of the instances' settings.
 const BOUND: RepeatBound = RepeatBound {
     ratio: 0.2,
@@ -156,12 +158,12 @@
     fn begin(&mut self, fault: Fault) {
         match fault {
             Fault::Kill(at) => {
-                self.disturb(at);
+                self.begin_disturbance(at);
                 self.world.instances[at].signal(Signal::KILL);
             }
             Fault::Stop(at) => self.world.instances[at].signal(Signal::TERM),
             Fault::Pause(at) => {
-                self.disturb(at);
+                self.begin_disturbance(at);
                 self.world.instances[at].signal(Signal::STOP);
             }
             Fault::StoreWay(at, way) => self.world.instances[at].store_way.way.set(way),
@@ -178,7 +180,7 @@
         match fault {
             Fault::Pause(at) => {
                 self.world.instances[at].signal(Signal::CONT);
-                self.disturb(at);
+                self.end_disturbances(at);
             }
             Fault::StoreWay(at, _) => self.world.instances[at].store_way.way.set(Way::Open),
             Fault::TargetWay(at, _) => self.world.targets[at].1.way.set(Way::Open),
@@ -192,27 +194,30 @@
         self.world.store.faults.change(change);
     }
 
-    /// Notes that something happens to an instance now.
-    fn disturb(&mut self, at: usize) {
-        let (instance, now) = (self.world.instances[at].ip, self.now());
-        let open = self.disturbed.iter_mut().rev();
-        let mut open = open.filter(|fault| fault.instance == instance && fault.until > now);
-        if let Some(fault) = open.next() {
-            fault.until = now;
-            return;
-        }
+    /// Notes that something happens to an instance from now on.
+    fn begin_disturbance(&mut self, at: usize) {
         self.disturbed.push(Disturbed {
-            instance,
-            from: now,
-            until: Duration::MAX / 2,
+            instance: self.world.instances[at].ip,
+            from: self.now(),
+            until: STILL_DISTURBED,
         });
     }
 
+    /// Notes that an instance runs again.
+    fn end_disturbances(&mut self, at: usize) {
+        let (instance, now) = (self.world.instances[at].ip, self.now());
+        for fault in &mut self.disturbed {
+            if fault.instance == instance {
+                fault.until = fault.until.min(now);
+            }
+        }
+    }
+
     /// Starts again what has ended, and asks for versions now and then.
     async fn look(&mut self) -> io::Result<()> {
         for at in 0..self.world.instances.len() {
             if self.world.instances[at].has_ended() {
-                self.close_disturbances(at);
+                self.end_disturbances(at);
                 self.world.launch(at)?;
             }
         }
@@ -226,16 +231,6 @@
         Ok(())
     }
 
-    /// A process that has ended, by whatever fault, is disturbed no longer.
-    fn close_disturbances(&mut self, at: usize) {
-        let (instance, now) = (self.world.instances[at].ip, self.now());
-        for fault in &mut self.disturbed {
-            if fault.instance == instance {
-                fault.until = fault.until.min(now);
-            }
-        }
-    }
-
     async fn ask_version(&mut self, at: usize) {
         let instance = &self.world.instances[at];
         let (ip, process) = (instance.ip, instance.processes);
@@ -264,6 +259,7 @@
         for at in 0..self.world.instances.len() {
             self.world.instances[at].store_way.way.set(Way::Open);
             self.world.instances[at].signal(Signal::CONT);
+            self.end_disturbances(at);
         }
         self.look_until(self.now() + CALM).await?;
         self.world.configure();
--- a/src/entry/digest.rs
+++ b/src/entry/digest.rs
@@ -64,6 +64,10 @@
         }
         self.asked_at = now;
         let zones = zones_to_ask(&self.settings.zone, &self.fleet.rooms(now));
+        if zones != self.asked_zones {
+            tracing::info!(?zones, "zones whose targets' figures are asked for");
+            self.asked_zones.clone_from(&zones);
+        }
         let pick = |zone| self.members.one_of_zone(now, zone, draw);
         zones.iter().filter_map(pick).collect()
     }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::Rng;
 
 use super::directory::{self, Entry};
@@ -71,6 +71,8 @@
     told_far: IndexMap<u64, Finding>,
     /// When other zones' figures were last asked for.
     pub asked_at: Time,
+    /// The zones that were asked then.
+    pub asked_zones: IndexSet<ZoneName>,
     beats: usize,
     budgets: IndexMap<ServiceName, RepeatBudget>,
     dealers: IndexMap<Arc<str>, Dealer>,
@@ -114,6 +116,7 @@
             told_near: IndexMap::new(),
             told_far: IndexMap::new(),
             asked_at: Time::ZERO,
+            asked_zones: IndexSet::new(),
             beats: 0,
             budgets: IndexMap::new(),
             dealers: IndexMap::new(),
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -44,6 +44,11 @@
         self.next == RETRY.0
     }
 
+    /// Waits `least` at least the next time.
+    fn raise(&mut self, least: Duration) {
+        self.next = self.next.max(least);
+    }
+
     async fn wait(&mut self) {
         let jitter = rand::rng().random_range(0.5..1.0);
         tokio::time::sleep(self.next.mul_f64(jitter)).await;
@@ -75,15 +80,7 @@
                 must_read = Some(ReadAge::Fresh);
             }
             Err(err) => {
-                let watched = shared.state().watches();
-                if backoff.is_new() {
-                    let revision = shared.state().replica.revision();
-                    tracing::warn!(revision, cause = %err, "the store is lost");
-                }
-                set_access(&shared, StoreAccess::Lost);
-                if !watched && shared.state().replica.revision() > 0 {
-                    backoff.next = backoff.next.max(RETRY_OTHERS);
-                }
+                note_loss(&shared, &mut backoff, &err);
                 backoff.wait().await;
                 set_access(&shared, StoreAccess::Unused);
                 let knows_nothing = shared.state().replica.revision() == 0;
@@ -94,6 +91,20 @@
     }
 }
 
+/// Tells the first of some failed calls in the log, and each to the peers.
+fn note_loss(shared: &Shared, backoff: &mut Backoff, err: &StoreError) {
+    let mut state = shared.state();
+    let revision = state.replica.revision();
+    if backoff.is_new() {
+        tracing::warn!(revision, cause = %err, "the store is lost");
+    }
+    // One that knows nothing yet has no others to wait for.
+    if !state.watches() && revision > 0 {
+        backoff.raise(RETRY_OTHERS);
+    }
+    state.standing.store = StoreAccess::Lost;
+}
+
 async fn read(shared: &Shared, client: &mut StoreClient, age: ReadAge) -> Result<(), StoreError> {
     let reading = client.read_all(age).await?;
     apply(shared, reading, true);
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -209,6 +209,14 @@
         .await;
     }
 
+    /// Stops `one` until another instance owns its shard and grants there.
+    async fn pause_one_past_its_lease(&self) {
+        self.works_again("a").await;
+        self.signal(0, Signal::STOP);
+        self.taken_from_one().await;
+        self.works_again("a").await;
+    }
+
     fn signal(&self, at: usize, signal: Signal) {
         let id = i32::try_from(self.instances[at].process.id()).expect("process id");
         let pid = Pid::from_raw(id).expect("process id");
@@ -256,10 +264,7 @@
 async fn an_owner_paused_past_its_lease_starts_nothing_on_waking() {
     let fleet = Fleet::start().await;
     let load = Load::start(&fleet.addresses());
-    fleet.works_again("a").await;
-    fleet.signal(0, Signal::STOP);
-    fleet.taken_from_one().await;
-    fleet.works_again("a").await;
+    fleet.pause_one_past_its_lease().await;
     fleet.signal(0, Signal::CONT);
     fleet.works_again("a").await;
     let outcomes = load.stop().await;
@@ -270,10 +275,7 @@
 async fn an_owner_that_wakes_to_a_slow_store_grants_nothing_of_a_shard_it_lost() {
     let fleet = Fleet::start().await;
     let load = Load::start(&fleet.addresses());
-    fleet.works_again("a").await;
-    fleet.signal(0, Signal::STOP);
-    fleet.taken_from_one().await;
-    fleet.works_again("a").await;
+    fleet.pause_one_past_its_lease().await;
     // Its new lease is there well before its next read of the claims.
     let delay = Duration::from_millis(150);
     fleet
