End a soak's processes when it is interrupted

Cause: ctrl-c ended the soak and left its instances running. Change: the run is dropped on ctrl-c, which ends what it started.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -53,7 +53,15 @@
                 .as_ref()
                 .map(|folder| folder.join(seed.to_string())),
         };
-        match run(&options).await {
+        // Dropping a run ends the processes that it started.
+        let played = tokio::select! {
+            played = run(&options) => played,
+            _ = tokio::signal::ctrl_c() => {
+                println!("seed {seed}: interrupted");
+                return ExitCode::FAILURE;
+            }
+        };
+        match played {
             Ok((calls, found)) if found.is_empty() => {
                 println!("seed {seed}: {calls} calls, all held");
             }
