--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -11,8 +11,10 @@
 use super::retry::AttemptOutcome;
 use super::selection::ChosenTarget;
 use super::shared::Shared;
+use super::upload::FINGERPRINT_BYTES;
 use crate::dispatch::quarantine::Fingerprint;
-use crate::http1::client::{Conn, ExchangeError, OutgoingRequest, Response};
+use crate::http1::client::{Conn, ExchangeError, OutgoingBody, OutgoingRequest, Response};
+use crate::http1::request_body::RequestBody;
 use crate::http1::server::Request;
 use crate::http1::write_headers;
 use crate::names::TargetId;
@@ -34,16 +36,28 @@
     pub started: Instant,
     deadline: Instant,
     head: BytesMut,
-    body: bytes::Bytes,
-    has_length: bool,
+    /// Its body, which may still be arriving.
+    pub body: Arc<RequestBody>,
+    has_body: bool,
     is_head: bool,
 }
 
+/// Length that an encoded head declares for the body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DeclaredLength {
+    /// There is no body.
+    None,
+    /// This many bytes.
+    Bytes(usize),
+    /// The body has the chunked transfer coding.
+    Chunked,
+}
+
 impl OutboundRequest {
     pub(crate) fn new(req: Request, meta: RequestMeta, route: Arc<str>, deadline: Instant) -> Self {
         let mut headers = req.headers;
         wire::strip_target_headers(&mut headers);
-        let has_length = req.chunked || headers.contains_key(http::header::CONTENT_LENGTH);
+        let has_body = req.chunked || headers.contains_key(http::header::CONTENT_LENGTH);
         let mut head = BytesMut::with_capacity(512);
         head.extend_from_slice(req.method.as_bytes());
         head.extend_from_slice(b" ");
@@ -57,29 +71,55 @@
             deadline,
             head,
             is_head: req.method == "HEAD",
-            has_length,
+            has_body,
             body: req.body,
         }
     }
 
-    fn encode(&self, target: &TargetId) -> BytesMut {
+    fn declared_length(&self) -> DeclaredLength {
+        if !self.has_body {
+            return DeclaredLength::None;
+        }
+        let arrival = self.body.arrival();
+        match arrival.declared {
+            Some(length) => DeclaredLength::Bytes(length),
+            None if arrival.complete => DeclaredLength::Bytes(arrival.received),
+            None => DeclaredLength::Chunked,
+        }
+    }
+
+    fn encode_head(&self, target: &TargetId, length: DeclaredLength) -> BytesMut {
         let left = self.deadline.saturating_duration_since(Instant::now());
-        let mut buf = BytesMut::with_capacity(self.head.len() + self.body.len() + 128);
+        let mut buf = BytesMut::with_capacity(self.head.len() + 128);
         buf.extend_from_slice(&self.head);
         wire::write_target_headers(&mut buf, target.as_str(), left);
-        if self.has_length {
-            buf.extend_from_slice(format!("content-length: {}\r\n", self.body.len()).as_bytes());
+        match length {
+            DeclaredLength::None => {}
+            DeclaredLength::Bytes(length) => {
+                buf.extend_from_slice(format!("content-length: {length}\r\n").as_bytes());
+            }
+            DeclaredLength::Chunked => buf.extend_from_slice(b"transfer-encoding: chunked\r\n"),
         }
         buf.extend_from_slice(b"\r\n");
-        buf.extend_from_slice(&self.body);
         buf
     }
 }
 
-/// Fingerprint of a request: a hash of host, method, path, query and body.
-pub(crate) fn fingerprint(host: &str, req: &Request) -> Fingerprint {
+/// Fingerprint of a request: a hash of host, method, path and query, and of the start
+/// and the declared length of a long body.
+pub(crate) fn fingerprint(
+    host: &str,
+    method: &str,
+    target: &str,
+    body: &RequestBody,
+) -> Fingerprint {
     let mut hasher = SipHasher13::new_with_keys(HASH_KEYS.0, HASH_KEYS.1);
-    (host, &req.method, &req.target, &*req.body).hash(&mut hasher);
+    let start = body.first_bytes(FINGERPRINT_BYTES);
+    (host, method, target, &*start).hash(&mut hasher);
+    let declared = body.arrival().declared;
+    if start.len() == FINGERPRINT_BYTES && declared != Some(FINGERPRINT_BYTES) {
+        declared.hash(&mut hasher);
+    }
     Fingerprint(hasher.finish())
 }
 
@@ -104,7 +144,7 @@
 ) -> CompletedAttempt {
     let in_flight = InFlightGuard {
         shared: &shared,
-        target: &choice.id,
+        run: choice.run,
     };
     let started = Instant::now();
     let result = exchange(&shared, &outbound, &choice, at_most_once).await;
@@ -121,12 +161,13 @@
 /// Counts a request as in flight at a target until it ends or is cancelled.
 struct InFlightGuard<'a> {
     shared: &'a Shared,
-    target: &'a TargetId,
+    /// Key of the target's run.
+    run: u64,
 }
 
 impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
-        self.shared.state().release(self.target);
+        self.shared.state().release(self.run);
         self.shared.capacity_freed.notify_waiters();
     }
 }
@@ -142,9 +183,14 @@
         Some(conn) => conn,
         None => connect(shared, choice).await?,
     };
-    let bytes = outbound.encode(&choice.id);
+    let length = outbound.declared_length();
+    let head = outbound.encode_head(&choice.id, length);
     let outgoing = OutgoingRequest {
-        bytes: &bytes,
+        bytes: &head,
+        body: (length != DeclaredLength::None).then(|| OutgoingBody {
+            body: &outbound.body,
+            chunked: length == DeclaredLength::Chunked,
+        }),
         is_head: outbound.is_head,
         max_response_bytes: MAX_RESPONSE_BYTES,
     };
@@ -163,10 +209,10 @@
 
 async fn connect(shared: &Shared, choice: &ChosenTarget) -> Result<TargetConn, ExchangeError> {
     let (limit, token) = {
-        let state = shared.state();
+        let mut state = shared.state();
         let token = state
             .targets
-            .get(&choice.id)
+            .run_mut(choice.run)
             .map(|view| view.connections.clone());
         (state.tuning.connect_timeout, token)
     };
@@ -175,7 +221,7 @@
     let opened = Conn::connect(choice.address, limit).await;
     if opened.is_err() {
         let now = shared.now();
-        if let Some(view) = shared.state().targets.get_mut(&choice.id) {
+        if let Some(view) = shared.state().targets.run_mut(choice.run) {
             view.mark_down(now);
         }
     }
@@ -198,7 +244,7 @@
         let now = self.now();
         let (outcome, response, cause) = classify(&outbound.id, result);
         let mut state = self.state();
-        if let (Some(view), Some(response)) = (state.targets.get_mut(&choice.id), &response) {
+        if let (Some(view), Some(response)) = (state.targets.run_mut(choice.run), &response) {
             let meta = wire::response_meta(response.status, &response.headers);
             view.record_response(now);
             if let Some(load) = meta.load {
@@ -208,8 +254,11 @@
                 view.mark_down(now);
             }
         }
-        if let Some(view) = state.targets.get_mut(&choice.id)
-            && outcome != AttemptOutcome::NotSent
+        if let Some(view) = state.targets.run_mut(choice.run)
+            && !matches!(
+                outcome,
+                AttemptOutcome::NotSent | AttemptOutcome::BodyFailed
+            )
         {
             view.record_outcome(now, outcome != AttemptOutcome::Answered);
         }
@@ -262,6 +311,9 @@
         Err(err @ ExchangeError::NotSent(_)) => {
             return (AttemptOutcome::NotSent, None, err.to_string());
         }
+        Err(err @ ExchangeError::RequestBody(_)) => {
+            return (AttemptOutcome::BodyFailed, None, err.to_string());
+        }
         Err(err) => return (AttemptOutcome::Lost, None, err.to_string()),
     };
     let meta = wire::response_meta(response.status, &response.headers);
--- a/src/entry/digest/tests.rs
+++ b/src/entry/digest/tests.rs
@@ -50,7 +50,6 @@
         first_start: true,
         store: ([10, 9, 9, 9], 1).into(),
         grace: Duration::from_secs(6),
-        leave_within: Duration::from_secs(2),
         repeat_ratio: 0.2,
         repeat_window: Duration::from_secs(10),
         repeat_slack: 50.0,
@@ -58,6 +57,7 @@
         cold_slack: 5.0,
         max_directory_ttl: Duration::from_secs(5),
         max_probe_rate: 60.0,
+        body_memory: 16 << 20,
     }
 }
 
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -19,6 +19,7 @@
 use super::retry::{self, AttemptHistory, AttemptOutcome, NextStep};
 use super::selection::{ChosenTarget, NoTarget};
 use super::shared::Shared;
+use super::upload::{self, UploadSettings};
 use super::wait_queue::{Ticket, expected_wait};
 use crate::dispatch::quarantine::{Fingerprint, QuarantineStatus};
 use crate::http1::client::Response;
@@ -46,8 +47,11 @@
         Ok(admitted) => {
             let left = meta.deadline.unwrap_or(admitted.route.timeout);
             let timeout = left.min(admitted.route.timeout);
+            let identity = RequestIdentity::of(&req);
             let mut call = Call {
                 shared: &shared,
+                identity,
+                fingerprint: Fingerprint(0),
                 outbound: Arc::new(OutboundRequest::new(
                     req,
                     meta,
@@ -61,7 +65,10 @@
                 hedged: false,
                 progress: Progress::default(),
             };
-            call.run().await
+            match call.wait_for_body().await {
+                Ok(()) => call.run().await,
+                Err(outcome) => (outcome, reply(outcome, DEFAULT_RETRY_AFTER)),
+            }
         }
         Err(outcome) => (outcome, reply(outcome, DEFAULT_RETRY_AFTER)),
     };
@@ -87,17 +94,36 @@
     pub route: Arc<Route>,
     /// Service that gets it, by the traffic split.
     pub service: ServiceName,
-    /// Identifies equal requests for the quarantine.
-    pub fingerprint: Fingerprint,
     /// Version of the configuration in force at admission.
     pub version: u64,
 }
 
 type Running<'a> = FuturesUnordered<Pin<Box<dyn Future<Output = CompletedAttempt> + Send + 'a>>>;
 
+/// What tells requests apart, beside the body.
+#[derive(Debug)]
+struct RequestIdentity {
+    host: String,
+    method: String,
+    target: String,
+}
+
+impl RequestIdentity {
+    fn of(req: &Request) -> Self {
+        Self {
+            host: host(req).to_owned(),
+            method: req.method.clone(),
+            target: req.target.clone(),
+        }
+    }
+}
+
 struct Call<'a> {
     shared: &'a Arc<Shared>,
     outbound: Arc<OutboundRequest>,
+    identity: RequestIdentity,
+    /// Identifies equal requests for the quarantine; known once a target may be taken.
+    fingerprint: Fingerprint,
     admitted: AdmittedRequest,
     deadline: Instant,
     history: AttemptHistory,
@@ -108,6 +134,52 @@
 }
 
 impl Call<'_> {
+    /// Waits until enough of the body has arrived to take a target, and checks the
+    /// quarantine.
+    async fn wait_for_body(&mut self) -> Result<(), Outcome> {
+        let body = self.outbound.body.clone();
+        let settings = UploadSettings::default();
+        loop {
+            let arrival = body.arrival();
+            if let Some(err) = body.failure() {
+                self.log_body_failure(&err);
+                return Err(Outcome::of_body_failure(&err, true));
+            }
+            if upload::may_take_target(&arrival, self.outbound.started.elapsed(), &settings) {
+                break;
+            }
+            tokio::select! {
+                () = body.arrived_since(arrival) => {}
+                () = tokio::time::sleep_until(self.deadline.into()) => {
+                    self.log_body_failure(&"the deadline passed");
+                    return Err(Outcome::BodyTimedOut);
+                }
+            }
+        }
+        let identity = &self.identity;
+        self.fingerprint =
+            super::attempt::fingerprint(&identity.host, &identity.method, &identity.target, &body);
+        let now = self.shared.now();
+        let status = self.shared.state().quarantine.status(now, self.fingerprint);
+        if status == QuarantineStatus::Blocked {
+            return Err(Outcome::Quarantined);
+        }
+        Ok(())
+    }
+
+    fn log_body_failure(&self, cause: &dyn std::fmt::Display) {
+        let arrival = self.outbound.body.arrival();
+        tracing::info!(
+            request = &*self.outbound.id,
+            route = &*self.admitted.route.name,
+            %cause,
+            received_bytes = arrival.received,
+            declared_bytes = arrival.declared,
+            took_ms = millis(self.outbound.started.elapsed()),
+            "body not received"
+        );
+    }
+
     async fn run(&mut self) -> (Outcome, Reply) {
         let mut running = Running::new();
         let mut failure: Option<Response> = None;
@@ -134,7 +206,7 @@
                         self.history,
                         self.admitted.route.max_attempts,
                     );
-                    let next = if running.is_empty() { self.within_budget(next, completed.outcome) } else { next };
+                    let next = if running.is_empty() { self.permitted(next, completed.outcome) } else { next };
                     match next {
                         NextStep::Deliver if completed.outcome == AttemptOutcome::Answered => return self.deliver(completed),
                         _ if !running.is_empty() => failure = completed.response.or(failure),
@@ -156,14 +228,22 @@
         let route = &self.admitted.route;
         route.retry_safety == RetrySafety::Safe
             && !self.hedged
+            && self.outbound.body.is_held_whole()
             && self.history.ran + 1 < route.max_attempts
     }
 
-    fn within_budget(&self, next: NextStep, outcome: AttemptOutcome) -> NextStep {
-        if next != NextStep::RetryWithinBudget || self.take_retry() {
-            return next;
+    /// The next step, if the start of the body is still held and the retry budget allows it.
+    fn permitted(&self, next: NextStep, outcome: AttemptOutcome) -> NextStep {
+        let permitted = match next {
+            NextStep::Retry => self.outbound.body.is_replayable(),
+            NextStep::RetryWithinBudget => self.outbound.body.is_replayable() && self.take_retry(),
+            NextStep::Deliver | NextStep::Refuse | NextStep::Fail => true,
+        };
+        if permitted {
+            next
+        } else {
+            retry::without_retry(outcome, self.history)
         }
-        retry::without_retry(outcome, self.history)
     }
 
     fn take_retry(&self) -> bool {
@@ -205,11 +285,11 @@
         let alternative =
             placement::expected_duration(&choice.candidate, service_time, &state.tuning.placement);
         if !hedge::is_worthwhile(current, alternative, requirements.objective_left) {
-            state.release(&choice.id);
+            state.release(choice.run);
             return None;
         }
         if !state.take_retry(now, service) {
-            state.release(&choice.id);
+            state.release(choice.run);
             self.hedged = true;
             tracing::info!(
                 request = &*self.outbound.id,
@@ -243,7 +323,7 @@
             self.outbound.clone(),
             choice,
             at_most_once,
-            self.admitted.fingerprint,
+            self.fingerprint,
         );
         Box::pin(attempt)
     }
@@ -305,6 +385,7 @@
             report_age_ms = completed.choice.report_age.map(millis),
             attempts = self.tried.len(),
             hedged = self.hedged,
+            body_bytes = self.outbound.body.arrival().received,
             took_ms = millis(self.outbound.started.elapsed()),
             "answered"
         );
@@ -342,6 +423,11 @@
     }
 
     fn end_without_target(&self, failure: Option<Response>, refusal: Refusal) -> (Outcome, Reply) {
+        if let Some(err) = self.outbound.body.failure() {
+            self.log_body_failure(&err);
+            let outcome = Outcome::of_body_failure(&err, self.history.not_run());
+            return (outcome, reply(outcome, refusal.retry_after));
+        }
         if self.history.not_run() {
             return self.refuse(refusal);
         }
@@ -450,14 +536,10 @@
 }
 
 impl Shared {
-    /// Finds the route and service of a request, and checks the quarantine.
+    /// Finds the route and service of a request.
     fn admit(&self, req: &Request) -> Result<AdmittedRequest, Outcome> {
         let now: Time = self.now();
-        let host = req
-            .headers
-            .get(http::header::HOST)
-            .and_then(|host| host.to_str().ok())
-            .unwrap_or_default();
+        let host = host(req);
         let path = req.target.split('?').next().unwrap_or_default();
         let mut state = self.state();
         let version = state.status.version;
@@ -469,21 +551,23 @@
             .find(host, path)
             .cloned()
             .ok_or(Outcome::NoRoute)?;
-        let fingerprint = super::attempt::fingerprint(host, req);
-        if state.quarantine.status(now, fingerprint) == QuarantineStatus::Blocked {
-            return Err(Outcome::Quarantined);
-        }
         let service = state.next_service(&route).ok_or(Outcome::NoRoute)?;
         state.record_request(now, &service);
         Ok(AdmittedRequest {
             route,
             service,
-            fingerprint,
             version,
         })
     }
 }
 
+fn host(req: &Request) -> &str {
+    req.headers
+        .get(http::header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .unwrap_or_default()
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -73,6 +73,8 @@
     pub same_zone: bool,
     /// For the peers in other zones.
     pub other_zones: bool,
+    /// For every live peer at once, as at a shutdown.
+    pub all: bool,
 }
 
 /// The other instances by peer address.
@@ -180,7 +182,9 @@
                 .last_heartbeat
                 .is_some_and(|at| now.since(at) < silence_timeout);
             let is_same_zone = member.zone == *zone;
-            let interval = if live {
+            let interval = if live && updates.all {
+                Duration::ZERO
+            } else if live {
                 heartbeat_interval(
                     count,
                     is_same_zone,
--- a/src/entry/members/tests.rs
+++ b/src/entry/members/tests.rs
@@ -11,6 +11,7 @@
     PendingUpdates {
         same_zone: has_updates,
         other_zones: has_updates,
+        all: false,
     }
 }
 
@@ -187,6 +188,33 @@
         .count()
 }
 
+/// An instance that shuts down must be known to all before its callers move.
+#[test]
+fn a_shutdown_is_sent_to_every_live_peer_at_once_in_a_large_membership() {
+    let mut members = Members::new(address(0), SILENCE_TIMEOUT, Duration::from_secs(60));
+    let now = Time::from_secs(1);
+    for other in 1..=100 {
+        let zone = if other % 2 == 0 { "a" } else { "b" };
+        let heartbeat = Heartbeat {
+            zone: zone.into(),
+            ..heartbeat(false)
+        };
+        members.record_heartbeat(now, address(other), &heartbeat);
+    }
+    let mut sent_to = |now, all| {
+        let updates = PendingUpdates {
+            all,
+            ..updates(true)
+        };
+        let (same_zone, other_zones) = members.due_heartbeats(now, &"a".into(), updates);
+        (same_zone.len(), other_zones.len())
+    };
+    assert_eq!(sent_to(now, false), (50, 50));
+    let soon = now.after(Duration::from_millis(20));
+    assert_eq!(sent_to(soon, false), (50, 0));
+    assert_eq!(sent_to(soon, true), (50, 50));
+}
+
 #[test]
 fn heartbeat_intervals_depend_on_zone_liveness_and_changes() {
     assert_eq!(heartbeats_sent("a", true, false), 20);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -34,6 +34,7 @@
 mod state;
 pub(crate) mod sync;
 pub(crate) mod targets;
+pub(crate) mod upload;
 pub(crate) mod wait_queue;
 pub(crate) mod watchers;
 pub(crate) mod window;
--- a/src/entry/outcome.rs
+++ b/src/entry/outcome.rs
@@ -6,6 +6,7 @@
 
 use super::retry::AttemptHistory;
 use super::selection::NoTarget;
+use crate::http1::body::BodyError;
 use crate::http1::client::Response;
 use crate::http1::server::Reply;
 
@@ -45,15 +46,38 @@
     /// Its deadline passed while it may have been running.
     #[display("timed_out")]
     TimedOut,
+    /// Its body has a malformed framing.
+    #[display("body_malformed")]
+    BodyMalformed,
+    /// Its body is longer than the configuration allows.
+    #[display("body_too_large")]
+    BodyTooLarge,
+    /// Its body did not arrive in time, and nothing was sent to a target.
+    #[display("body_timed_out")]
+    BodyTimedOut,
 }
 
 impl Outcome {
+    /// The outcome of a request whose body can't be received whole. The status for one
+    /// that did not arrive in time promises that it was not run.
+    pub(crate) fn of_body_failure(err: &BodyError, not_run: bool) -> Self {
+        match err {
+            BodyError::Malformed(_) => Self::BodyMalformed,
+            BodyError::TooLarge(_) => Self::BodyTooLarge,
+            BodyError::Stalled(_) | BodyError::Truncated(_) if not_run => Self::BodyTimedOut,
+            BodyError::Stalled(_) | BodyError::Truncated(_) => Self::Lost,
+        }
+    }
+
     /// Status of the response if no target's response is forwarded.
     fn status(self) -> u16 {
         match self {
             Self::NoRoute => 404,
             Self::NoConfiguration | Self::Refused | Self::Quarantined => 503,
             Self::TimedOut => 504,
+            Self::BodyMalformed => 400,
+            Self::BodyTooLarge => 413,
+            Self::BodyTimedOut => 408,
             Self::Answered | Self::TargetFailed | Self::Lost => 502,
         }
     }
--- a/src/entry/probe.rs
+++ b/src/entry/probe.rs
@@ -120,6 +120,7 @@
     let req = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\n\r\n");
     let outgoing = OutgoingRequest {
         bytes: req.as_bytes(),
+        body: None,
         is_head: false,
         max_response_bytes: MAX_RESPONSE_BYTES,
     };
--- a/src/entry/retry.rs
+++ b/src/entry/retry.rs
@@ -22,6 +22,8 @@
     TargetFailed,
     /// No complete response arrived; the request may have run.
     Lost,
+    /// The caller did not send the body whole; the part sent may have run.
+    BodyFailed,
 }
 
 /// Outcomes of a request's attempts so far.
@@ -41,9 +43,10 @@
         match outcome {
             AttemptOutcome::NotSent => self.unsent += 1,
             AttemptOutcome::NotRun => self.shed += 1,
-            AttemptOutcome::Answered | AttemptOutcome::TargetFailed | AttemptOutcome::Lost => {
-                self.ran += 1;
-            }
+            AttemptOutcome::Answered
+            | AttemptOutcome::TargetFailed
+            | AttemptOutcome::Lost
+            | AttemptOutcome::BodyFailed => self.ran += 1,
         }
     }
 
@@ -102,7 +105,10 @@
     match outcome {
         AttemptOutcome::Answered | AttemptOutcome::TargetFailed => NextStep::Deliver,
         _ if history.not_run() => NextStep::Refuse,
-        AttemptOutcome::NotSent | AttemptOutcome::NotRun | AttemptOutcome::Lost => NextStep::Fail,
+        AttemptOutcome::NotSent
+        | AttemptOutcome::NotRun
+        | AttemptOutcome::Lost
+        | AttemptOutcome::BodyFailed => NextStep::Fail,
     }
 }
 
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -155,6 +155,7 @@
     let limits_shared = shared.clone();
     let context = ServerContext {
         handler: move |req: Request, _| forward::serve(handler_shared.clone(), req),
+        body_memory: shared.body_memory.clone(),
         limits: Box::new(move || {
             let limits = limits_shared.state().caller_limits();
             RequestLimits {
@@ -183,11 +184,13 @@
         return;
     };
     let shared = shared.clone();
+    let body_memory = shared.body_memory.clone();
     let context = ServerContext {
         handler: move |req: Request, _| {
             let reply = handler(&shared, &req);
             async move { reply }
         },
+        body_memory,
         limits: Box::new(|| {
             let limits = super::model::CallerLimits::default();
             RequestLimits {
--- a/src/entry/selection.rs
+++ b/src/entry/selection.rs
@@ -22,6 +22,8 @@
 pub(crate) struct ChosenTarget {
     /// Id of the target.
     pub id: TargetId,
+    /// Key of its run; see [`super::members::target_key`].
+    pub run: u64,
     /// Address that it listens on.
     pub address: SocketAddr,
     /// Its load and state at the time of the selection.
@@ -169,6 +171,7 @@
         let view = self.targets.get_mut(id)?;
         let choice = ChosenTarget {
             id: id.clone(),
+            run: view.key,
             address: view.target.address,
             candidate: view.candidate(now, &own_zone),
             report_age: view.load_report.map(|report| now.since(report.at)),
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -31,8 +31,6 @@
     pub store: SocketAddr,
     /// Time from SIGTERM until the process must have ended.
     pub grace: Duration,
-    /// Time within which a leaving target must get no more requests.
-    pub leave_within: Duration,
     /// Retries allowed per request, over all instances.
     pub repeat_ratio: f64,
     /// Sliding window of the retry budget.
@@ -47,6 +45,9 @@
     pub max_directory_ttl: Duration,
     /// Health checks a second that a target may get, from all instances together.
     pub max_probe_rate: f64,
+    /// Bytes that may be held for the bodies of all requests, beyond the first 16 KiB of
+    /// each.
+    pub body_memory: usize,
 }
 
 /// Parameters of the instance's own mechanisms, not configurable.
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -1,14 +1,18 @@
 //! State shared by the tasks of an entry instance.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::Notify;
 
 use super::metrics::EntryMetrics;
 use super::pool::Pool;
 use super::state::State;
+use crate::http1::request_body::BodyMemory;
 use crate::units::{Clock, Time};
 
+/// Bytes of one request's body that are held at most.
+const MAX_HELD_BODY_BYTES: usize = 1 << 20;
+
 /// The state, the connection pool and the metrics. The pool's lock is never taken while
 /// the state is locked.
 #[derive(Debug)]
@@ -21,11 +25,15 @@
     pub capacity_freed: Notify,
     /// Counters and latencies.
     pub metrics: EntryMetrics,
+    /// Memory for the bodies of requests.
+    pub body_memory: Arc<BodyMemory>,
 }
 
 impl Shared {
     pub(crate) fn new(state: State, clock: Clock, metrics: EntryMetrics) -> Self {
+        let body_memory = BodyMemory::new(MAX_HELD_BODY_BYTES, state.settings.body_memory);
         Self {
+            body_memory: Arc::new(body_memory),
             state: Mutex::new(state),
             clock,
             pool: Pool::default(),
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -45,6 +45,15 @@
 /// Maximum age of this instance's own probe results in a heartbeat.
 const OWN_REPORT_AGE: Duration = Duration::from_millis(500);
 
+/// Result of an own probe.
+#[derive(Debug, Clone, Copy)]
+struct OwnReport {
+    report: TargetReport,
+    at: Time,
+    /// Number of the heartbeat that last contained it; 0 before the first.
+    sent_in: usize,
+}
+
 /// The state of an entry instance.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -66,9 +75,8 @@
     pub service_times: ServiceTimes,
     /// Status that this instance sends to its peers.
     pub status: InstanceStatus,
-    /// Results of this instance's own probes by target key; the target that was added last
-    /// comes last.
-    reports: IndexMap<u64, (Time, TargetReport)>,
+    /// Results of this instance's own probes by target key.
+    reports: IndexMap<u64, OwnReport>,
     /// Reports last sent to peers in the same zone.
     sent_same_zone: IndexMap<u64, TargetReport>,
     /// Reports last sent to peers in other zones.
@@ -284,9 +292,10 @@
             .map_or(1.0, |percent| percent / 100.0)
     }
 
-    /// Releases the capacity reserved for a request that ended or was never sent.
-    pub(crate) fn release(&mut self, id: &TargetId) {
-        if let Some(view) = self.targets.get_mut(id) {
+    /// Releases the capacity reserved for a request, at the run of a target that `run`
+    /// identifies, that ended or was never sent.
+    pub(crate) fn release(&mut self, run: u64) {
+        if let Some(view) = self.targets.run_mut(run) {
             view.in_flight = view.in_flight.saturating_sub(1);
         }
     }
@@ -326,7 +335,14 @@
     pub(crate) fn record_probe(&mut self, now: Time, report: TargetReport) {
         self.targets.apply_report(now, &report);
         self.record_crash_if_unreachable(now, &report);
-        self.reports.insert(report.target, (now, report));
+        let known = self.reports.get(&report.target);
+        let sent_in = known.map_or(0, |known| known.sent_in);
+        let own = OwnReport {
+            report,
+            at: now,
+            sent_in,
+        };
+        self.reports.insert(report.target, own);
     }
 
     /// Records the crash of an unreachable target against the requests whose
@@ -348,39 +364,41 @@
         }
     }
 
-    /// The next heartbeat and the peers to send it to. With `all`, it is treated as a
-    /// significant change for every peer; see [`Members::due_heartbeats`].
+    /// The next heartbeat and the peers to send it to. With `all`, these are all live
+    /// peers; see [`Members::due_heartbeats`].
     pub(crate) fn next_heartbeat(&mut self, now: Time, all: bool) -> (Heartbeat, Vec<SocketAddr>) {
         self.reports
-            .retain(|_, (at, _)| now.since(*at) < OWN_REPORT_AGE);
+            .retain(|_, own| now.since(own.at) < OWN_REPORT_AGE);
+        self.sent_same_zone
+            .retain(|target, _| self.reports.contains_key(target));
+        self.sent_other_zones
+            .retain(|target, _| self.reports.contains_key(target));
         let updates = PendingUpdates {
-            same_zone: all || self.has_unsent_changes(&self.sent_same_zone),
-            other_zones: all || self.has_unsent_changes(&self.sent_other_zones),
+            same_zone: self.has_unsent_changes(&self.sent_same_zone),
+            other_zones: self.has_unsent_changes(&self.sent_other_zones),
+            all,
         };
         let zone = self.settings.zone.clone();
         let (same_zone, other_zones) = self.members.due_heartbeats(now, &zone, updates);
-        let latest = || {
-            self.reports
-                .values()
-                .map(|(_, report)| (report.target, *report))
-        };
-        if !same_zone.is_empty() {
-            self.sent_same_zone = latest().collect();
-        }
-        if !other_zones.is_empty() {
-            self.sent_other_zones = latest().collect();
-        }
-        let reports = self
-            .reports
-            .values()
-            .rev()
-            .take(MAX_REPORTS)
-            .map(|(at, report)| TargetReport {
-                age_ms: u16::try_from(now.since(*at).as_millis()).unwrap_or(u16::MAX),
-                ..*report
-            })
-            .collect();
         self.heartbeats_sent += 1;
+        let targets = self.reports_to_send();
+        let mut reports = Vec::with_capacity(targets.len());
+        for target in targets {
+            let Some(own) = self.reports.get_mut(&target) else {
+                continue;
+            };
+            own.sent_in = self.heartbeats_sent;
+            if !same_zone.is_empty() {
+                self.sent_same_zone.insert(target, own.report);
+            }
+            if !other_zones.is_empty() {
+                self.sent_other_zones.insert(target, own.report);
+            }
+            reports.push(TargetReport {
+                age_ms: u16::try_from(now.since(own.at).as_millis()).unwrap_or(u16::MAX),
+                ..own.report
+            });
+        }
         let heartbeat = Heartbeat {
             zone,
             status: self.status.clone(),
@@ -391,12 +409,30 @@
         (heartbeat, [same_zone, other_zones].concat())
     }
 
+    /// The targets whose reports the next heartbeat contains: first those that changed,
+    /// then those that were sent longest ago, so that none is left out for long.
+    fn reports_to_send(&self) -> Vec<u64> {
+        let is_unchanged = |own: &OwnReport| {
+            let is_known = |sent: Option<&TargetReport>| {
+                sent.is_some_and(|sent| !own.report.is_significant_change(sent))
+            };
+            let target = &own.report.target;
+            is_known(self.sent_same_zone.get(target)) && is_known(self.sent_other_zones.get(target))
+        };
+        let mut order: Vec<&OwnReport> = self.reports.values().collect();
+        if order.len() > MAX_REPORTS {
+            order.sort_by_key(|own| (is_unchanged(own), own.sent_in));
+        }
+        let targets = order.into_iter().map(|own| own.report.target);
+        targets.take(MAX_REPORTS).collect()
+    }
+
     /// Whether the current reports differ significantly from those last sent.
     fn has_unsent_changes(&self, sent: &IndexMap<u64, TargetReport>) -> bool {
         let mut reports = self.reports.values();
-        reports.any(|(_, report)| {
-            sent.get(&report.target)
-                .is_none_or(|sent| report.is_significant_change(sent))
+        reports.any(|own| {
+            sent.get(&own.report.target)
+                .is_none_or(|sent| own.report.is_significant_change(sent))
         })
     }
 
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -285,8 +285,12 @@
             }
         }
         let view = TargetState::new(now, target);
-        self.by_key.insert(view.key, view.target.id.clone());
-        self.views.insert(view.target.id.clone(), view);
+        let key = view.key;
+        let id = view.target.id.clone();
+        if let Some(earlier) = self.views.insert(id.clone(), view) {
+            self.by_key.swap_remove(&earlier.key);
+        }
+        self.by_key.insert(key, id);
     }
 
     /// The services of which at least half of the targets are removed at once. Targets
@@ -367,6 +371,13 @@
         self.views.get_mut(id)
     }
 
+    /// The view of the run of a target that `key` identifies, for updates; `None` after
+    /// the target was started again.
+    pub fn run_mut(&mut self, key: u64) -> Option<&mut TargetState> {
+        let id = self.by_key.get(&key)?;
+        self.views.get_mut(id)
+    }
+
     /// The views of all targets.
     pub fn views(&self) -> impl Iterator<Item = &TargetState> {
         self.views.values()
@@ -432,11 +443,7 @@
     /// Applies a report on a target, from an own probe or a peer.
     pub fn apply_report(&mut self, now: Time, report: &TargetReport) {
         let at = now.before(Duration::from_millis(report.age_ms.into()));
-        let Some(view) = self
-            .by_key
-            .get(&report.target)
-            .and_then(|id| self.views.get_mut(id))
-        else {
+        let Some(view) = self.run_mut(report.target) else {
             return;
         };
         if let Some(load) = report.load {
--- a/src/entry/targets/tests.rs
+++ b/src/entry/targets/tests.rs
@@ -157,6 +157,27 @@
     assert_eq!(table.get(&"t".into()).unwrap().in_flight, 0);
 }
 
+/// The requests of an earlier run end after the new run is registered.
+#[test]
+fn a_restart_leaves_one_key_for_each_target() {
+    let mut table = table(target("t"));
+    let earlier = table.get(&"t".into()).unwrap().key;
+    for started_ms in 2..10 {
+        let target = target("t");
+        table.put(
+            NOW,
+            Target {
+                started_ms,
+                ..target
+            },
+        );
+    }
+    let run = table.get(&"t".into()).unwrap().key;
+    table.run_mut(run).unwrap().in_flight = 1;
+    assert!(table.run_mut(earlier).is_none());
+    assert_eq!(table.by_key.len(), 1);
+}
+
 /// A probe of the earlier run may end, or a peer's heartbeat with its result arrive, after
 /// the new run is registered.
 #[test]
--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -1,4 +1,6 @@
-//! Framing of message bodies, and reading whole bodies.
+//! Framing of message bodies, their incremental decoding, and reading whole bodies.
+
+use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use http::HeaderMap;
@@ -8,6 +10,10 @@
 
 /// Longest line with a chunk's size and extensions, or with a trailer, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
+/// Maximum number of trailers; they are dropped.
+const MAX_TRAILERS: usize = 64;
+/// Maximum buffer space for one read of a body of known length.
+const MAX_READ_BYTES: usize = 64 << 10;
 
 /// How the end of a body is determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -23,7 +29,7 @@
 }
 
 /// Why a body could not be read.
-#[derive(Debug, derive_more::Display)]
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
 pub(crate) enum BodyError {
     /// The connection ended before the end of the body.
     #[display("incomplete body: {_0}")]
@@ -34,6 +40,9 @@
     /// The body is longer than allowed.
     #[display("the body exceeds the limit of {_0} bytes")]
     TooLarge(usize),
+    /// No byte of the rest of the body arrived within the idle timeout.
+    #[display("no byte of the body arrived for {_0:?}")]
+    Stalled(Duration),
 }
 
 /// Returns the framing that the headers declare; `None` if they declare none.
@@ -68,72 +77,167 @@
     }
 }
 
-/// Reads a whole body; bytes that follow it stay in `buf`.
-///
-/// # Errors
-/// The body can't be read whole or is longer than `max` bytes, see [`BodyError`].
-pub(crate) async fn read_body<R: AsyncRead + Unpin>(
-    rx: &mut R,
-    buf: &mut BytesMut,
-    framing: Framing,
+/// Decodes the framing of a body from bytes that arrive in pieces of any size.
+#[derive(Debug)]
+pub(crate) struct BodyDecoder {
+    state: DecoderState,
+    /// Bytes of the body that are still allowed.
+    allowed: usize,
     max: usize,
-) -> Result<Bytes, BodyError> {
-    match framing {
-        Framing::None => Ok(Bytes::new()),
-        Framing::Length(length) if length > max => Err(BodyError::TooLarge(max)),
-        Framing::Length(length) => {
-            while buf.len() < length {
-                fill(rx, buf).await?;
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DecoderState {
+    /// The rest of a body of known length, in bytes.
+    Length(usize),
+    /// At the line with the size of the next chunk.
+    ChunkSize,
+    /// In the data of a chunk of which this many bytes are left.
+    ChunkData(usize),
+    /// At the CRLF after the data of a chunk.
+    ChunkEnd,
+    /// In the trailers after the last chunk, of which this many are known.
+    Trailers(usize),
+    UntilClose,
+    End,
+}
+
+/// Result of decoding the bytes received so far.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Decoded {
+    /// Some bytes of the body; never empty.
+    Data(Bytes),
+    /// More bytes must be received first.
+    Incomplete,
+    /// The body is complete.
+    End,
+}
+
+impl BodyDecoder {
+    /// Creates a decoder of a body of at most `max` bytes.
+    ///
+    /// # Errors
+    /// [`BodyError::TooLarge`] if a longer body is declared.
+    pub(crate) fn new(framing: Framing, max: usize) -> Result<Self, BodyError> {
+        let state = match framing {
+            Framing::Length(length) if length > max => return Err(BodyError::TooLarge(max)),
+            Framing::None | Framing::Length(0) => DecoderState::End,
+            Framing::Length(length) => DecoderState::Length(length),
+            Framing::Chunked => DecoderState::ChunkSize,
+            Framing::UntilClose => DecoderState::UntilClose,
+        };
+        Ok(Self {
+            state,
+            allowed: max,
+            max,
+        })
+    }
+
+    /// Takes the next part of the body, of at most `limit` bytes, from the front of `buf`;
+    /// bytes after the body stay there.
+    ///
+    /// # Errors
+    /// The framing is malformed or the body too long.
+    pub(crate) fn decode(
+        &mut self,
+        buf: &mut BytesMut,
+        limit: usize,
+    ) -> Result<Decoded, BodyError> {
+        loop {
+            match self.state {
+                DecoderState::End => return Ok(Decoded::End),
+                DecoderState::Length(left) => {
+                    let Some(data) = take(buf, left.min(limit)) else {
+                        return Ok(Decoded::Incomplete);
+                    };
+                    self.state = match left - data.len() {
+                        0 => DecoderState::End,
+                        left => DecoderState::Length(left),
+                    };
+                    return Ok(Decoded::Data(data));
+                }
+                DecoderState::ChunkData(left) => {
+                    let Some(data) = take(buf, left.min(limit)) else {
+                        return Ok(Decoded::Incomplete);
+                    };
+                    self.state = match left - data.len() {
+                        0 => DecoderState::ChunkEnd,
+                        left => DecoderState::ChunkData(left),
+                    };
+                    return Ok(Decoded::Data(data));
+                }
+                DecoderState::UntilClose => {
+                    let Some(data) = take(buf, limit) else {
+                        return Ok(Decoded::Incomplete);
+                    };
+                    self.reserve(data.len())?;
+                    return Ok(Decoded::Data(data));
+                }
+                DecoderState::ChunkEnd => {
+                    if buf.len() < 2 {
+                        return Ok(Decoded::Incomplete);
+                    }
+                    if !buf.starts_with(b"\r\n") {
+                        return Err(BodyError::Malformed("missing CRLF after a chunk"));
+                    }
+                    buf.advance(2);
+                    self.state = DecoderState::ChunkSize;
+                }
+                DecoderState::ChunkSize => {
+                    let Some(line) = take_line(buf)? else {
+                        return Ok(Decoded::Incomplete);
+                    };
+                    let size = chunk_size(&line)?;
+                    self.reserve(size)?;
+                    self.state = match size {
+                        0 => DecoderState::Trailers(0),
+                        size => DecoderState::ChunkData(size),
+                    };
+                }
+                DecoderState::Trailers(count) => {
+                    let Some(line) = take_line(buf)? else {
+                        return Ok(Decoded::Incomplete);
+                    };
+                    self.state = match line.is_empty() {
+                        true => DecoderState::End,
+                        false if count < MAX_TRAILERS => DecoderState::Trailers(count + 1),
+                        false => return Err(BodyError::Malformed("too many trailers")),
+                    };
+                }
             }
-            Ok(buf.split_to(length).freeze())
         }
-        Framing::Chunked => read_chunks(rx, buf, max).await,
-        Framing::UntilClose => read_to_end(rx, buf, max).await,
     }
-}
 
-async fn read_to_end<R: AsyncRead + Unpin>(
-    rx: &mut R,
-    buf: &mut BytesMut,
-    max: usize,
-) -> Result<Bytes, BodyError> {
-    loop {
-        if buf.len() > max {
-            return Err(BodyError::TooLarge(max));
-        }
-        buf.reserve(READ_BYTES);
-        match rx.read_buf(buf).await {
-            Ok(0) => return Ok(buf.split().freeze()),
-            Ok(_) => {}
-            Err(err) => return Err(BodyError::Truncated(err.to_string())),
-        }
+    /// Whether the whole body was decoded.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.state == DecoderState::End
+    }
+
+    fn reserve(&mut self, size: usize) -> Result<(), BodyError> {
+        let left = self.allowed.checked_sub(size);
+        self.allowed = left.ok_or(BodyError::TooLarge(self.max))?;
+        Ok(())
     }
 }
 
-async fn read_chunks<R: AsyncRead + Unpin>(
-    rx: &mut R,
-    buf: &mut BytesMut,
-    max: usize,
-) -> Result<Bytes, BodyError> {
-    let mut body = BytesMut::new();
-    loop {
-        let line = read_line(rx, buf).await?;
-        let size = chunk_size(&line)?;
-        if size == 0 {
-            while !read_line(rx, buf).await?.is_empty() {}
-            return Ok(body.freeze());
-        }
-        if body.len() + size > max {
-            return Err(BodyError::TooLarge(max));
-        }
-        while buf.len() < size + 2 {
-            fill(rx, buf).await?;
-        }
-        body.extend_from_slice(&buf[..size]);
-        if &buf[size..size + 2] != b"\r\n" {
-            return Err(BodyError::Malformed("missing CRLF after a chunk"));
+/// Takes at most `count` bytes; `None` if there are none.
+fn take(buf: &mut BytesMut, count: usize) -> Option<Bytes> {
+    let count = count.min(buf.len());
+    (count > 0).then(|| buf.split_to(count).freeze())
+}
+
+/// Takes a line that ends with CRLF, without its end; `None` if it is incomplete.
+fn take_line(buf: &mut BytesMut) -> Result<Option<BytesMut>, BodyError> {
+    const TOO_LONG: BodyError = BodyError::Malformed("chunk size line or trailer too long");
+    match buf.windows(2).position(|pair| pair == b"\r\n") {
+        Some(end) if end <= MAX_CHUNK_LINE_BYTES => {
+            let line = buf.split_to(end);
+            buf.advance(2);
+            Ok(Some(line))
         }
-        buf.advance(size + 2);
+        // The last byte may be the first of the CRLF.
+        None if buf.len() <= MAX_CHUNK_LINE_BYTES + 1 => Ok(None),
+        _ => Err(TOO_LONG),
     }
 }
 
@@ -147,30 +251,68 @@
     usize::from_str_radix(text, 16).map_err(|_| INVALID)
 }
 
-/// Reads a line that ends with CRLF, and returns it without its end.
-async fn read_line<R: AsyncRead + Unpin>(
+/// Reads a whole body; bytes that follow it stay in `buf`.
+///
+/// # Errors
+/// The body can't be read whole or is longer than `max` bytes, see [`BodyError`].
+pub(crate) async fn read_body<R: AsyncRead + Unpin>(
     rx: &mut R,
     buf: &mut BytesMut,
-) -> Result<BytesMut, BodyError> {
+    framing: Framing,
+    max: usize,
+) -> Result<Bytes, BodyError> {
+    if let Framing::Length(length) = framing
+        && length <= max
+    {
+        // Without copying the body.
+        while buf.len() < length {
+            fill(rx, buf, (length - buf.len()).min(MAX_READ_BYTES)).await?;
+        }
+        return Ok(buf.split_to(length).freeze());
+    }
+    let mut decoder = BodyDecoder::new(framing, max)?;
+    let mut body = BytesMut::new();
     loop {
-        if let Some(end) = buf.windows(2).position(|pair| pair == b"\r\n") {
-            let line = buf.split_to(end);
-            buf.advance(2);
-            return Ok(line);
+        match decoder.decode(buf, usize::MAX)? {
+            Decoded::Data(data) => body.extend_from_slice(&data),
+            Decoded::End => return Ok(body.freeze()),
+            Decoded::Incomplete => match fill(rx, buf, READ_BYTES).await {
+                Ok(()) => {}
+                Err(End::Closed) if framing == Framing::UntilClose => return Ok(body.freeze()),
+                Err(end) => return Err(end.into()),
+            },
         }
-        if buf.len() > MAX_CHUNK_LINE_BYTES {
-            return Err(BodyError::Malformed("chunk size line or trailer too long"));
+    }
+}
+
+/// Why no more bytes can be read.
+#[derive(Debug)]
+enum End {
+    /// The peer closed the connection.
+    Closed,
+    /// The connection failed.
+    Failed(std::io::Error),
+}
+
+impl From<End> for BodyError {
+    fn from(end: End) -> Self {
+        match end {
+            End::Closed => Self::Truncated("connection closed by the peer".into()),
+            End::Failed(err) => Self::Truncated(err.to_string()),
         }
-        fill(rx, buf).await?;
     }
 }
 
-/// Reads some more bytes into `buf`; the end of the connection is an error.
-async fn fill<R: AsyncRead + Unpin>(rx: &mut R, buf: &mut BytesMut) -> Result<(), BodyError> {
-    buf.reserve(READ_BYTES);
+/// Reads some more bytes into `buf`, with space for at least `space` bytes.
+async fn fill<R: AsyncRead + Unpin>(
+    rx: &mut R,
+    buf: &mut BytesMut,
+    space: usize,
+) -> Result<(), End> {
+    buf.reserve(space.max(READ_BYTES));
     match rx.read_buf(buf).await {
-        Ok(0) => Err(BodyError::Truncated("connection closed by the peer".into())),
+        Ok(0) => Err(End::Closed),
         Ok(_) => Ok(()),
-        Err(err) => Err(BodyError::Truncated(err.to_string())),
+        Err(err) => Err(End::Failed(err)),
     }
 }
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -1,9 +1,10 @@
-//! Client side of one connection: sends a request and reads the whole response.
+//! Client side of one connection: sends a request, whose body may still be arriving, and
+//! reads the whole response.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use http::HeaderMap;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -11,8 +12,11 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 
 use super::body::{BodyError, Framing, declared_framing, read_body};
+use super::request_body::{ReadError, RequestBody};
 use super::{MAX_HEADERS, READ_BYTES, connection_lists, header_map};
 
+/// Bytes of a request's body that are sent with one write.
+const MAX_PIECE_BYTES: usize = 16 << 10;
 /// Largest head of a response, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Time after which a connection with unacknowledged bytes is ended. It allows a few
@@ -35,8 +39,10 @@
 /// Encoded request, with what is needed to read the response to it.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct OutgoingRequest<'a> {
-    /// Encoded head and body.
+    /// Encoded head, and the body unless it is in `body`.
     pub bytes: &'a [u8],
+    /// Body that is sent as it arrives; it has not ended before all of it is sent.
+    pub body: Option<OutgoingBody<'a>>,
     /// Whether it is a HEAD request: the response then has no body, whatever its headers
     /// declare.
     pub is_head: bool,
@@ -44,6 +50,15 @@
     pub max_response_bytes: usize,
 }
 
+/// Body of an [`OutgoingRequest`].
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OutgoingBody<'a> {
+    /// The body.
+    pub body: &'a RequestBody,
+    /// Whether it is sent with the chunked transfer coding.
+    pub chunked: bool,
+}
+
 /// Why an exchange failed.
 #[derive(Debug, derive_more::Display)]
 pub(crate) enum ExchangeError {
@@ -56,6 +71,9 @@
     /// The received bytes are not a valid HTTP response.
     #[display("{_0}")]
     Malformed(&'static str),
+    /// The caller did not send the body whole, so that the request was sent in part.
+    #[display("the request's body was not sent whole: {_0}")]
+    RequestBody(ReadError),
 }
 
 impl From<BodyError> for ExchangeError {
@@ -121,19 +139,22 @@
         is_match: impl Fn(&Response) -> bool,
     ) -> Result<Response, ExchangeError> {
         let (mut rx, mut tx) = self.stream.split();
-        let mut sent = 0;
+        let mut sender = Sender::new(req);
         let mut write_error = None;
         let resp = {
             let read = read_matching(&mut rx, &mut self.buf, req, &is_match, &mut self.reusable);
             tokio::pin!(read);
             loop {
-                let writing = sent < req.bytes.len() && write_error.is_none();
+                let writing = !sender.is_done() && write_error.is_none();
                 tokio::select! {
                     biased;
-                    wrote = write_some(&mut tx, &req.bytes[sent..]), if writing => match wrote {
-                        Ok(count) => sent += count,
-                        Err(err) if sent == 0 => return Err(ExchangeError::NotSent(err)),
-                        Err(err) => write_error = Some(err),
+                    wrote = sender.send_some(&mut tx), if writing => match wrote {
+                        Ok(()) => {}
+                        Err(SendError::Body(err)) => return Err(ExchangeError::RequestBody(err)),
+                        Err(SendError::Connection(err)) if !sender.has_sent => {
+                            return Err(ExchangeError::NotSent(err));
+                        }
+                        Err(SendError::Connection(err)) => write_error = Some(err),
                     },
                     resp = &mut read => break resp,
                 }
@@ -141,16 +162,86 @@
         };
         // After an early response, the unsent rest of the body would be read as the next
         // request.
-        self.reusable &= sent == req.bytes.len();
+        self.reusable &= sender.is_done();
         resp
     }
 }
 
-async fn write_some(tx: &mut WriteHalf<'_>, bytes: &[u8]) -> Result<usize, String> {
-    match tx.write(bytes).await {
-        Ok(0) => Err("connection closed by the peer".into()),
-        Ok(count) => Ok(count),
-        Err(err) => Err(err.to_string()),
+/// Why the rest of a request can't be sent.
+enum SendError {
+    Connection(String),
+    Body(ReadError),
+}
+
+/// Sends one request.
+struct Sender<'a> {
+    /// Bytes to send next.
+    piece: Bytes,
+    body: Option<OutgoingBody<'a>>,
+    /// Bytes of the body that were taken into `piece` so far.
+    taken: usize,
+    has_sent: bool,
+}
+
+impl<'a> Sender<'a> {
+    fn new(req: &OutgoingRequest<'a>) -> Self {
+        let mut sender = Self {
+            piece: Bytes::new(),
+            body: req.body,
+            taken: 0,
+            has_sent: false,
+        };
+        // A small body that is there already goes out with the head.
+        let mut first = BytesMut::from(req.bytes);
+        if let Some(body) = sender.body
+            && let Some(Ok(data)) = body.body.try_read(0, MAX_PIECE_BYTES)
+        {
+            sender.add(&mut first, &data, body.chunked);
+        }
+        sender.piece = first.freeze();
+        sender
+    }
+
+    fn is_done(&self) -> bool {
+        self.piece.is_empty() && self.body.is_none()
+    }
+
+    /// Sends some bytes; waits for the body if needed. Dropping the future loses none.
+    async fn send_some(&mut self, tx: &mut WriteHalf<'_>) -> Result<(), SendError> {
+        while self.piece.is_empty() {
+            let Some(body) = self.body else {
+                return Ok(());
+            };
+            let data = body.body.read(self.taken, MAX_PIECE_BYTES).await;
+            let data = data.map_err(SendError::Body)?;
+            let mut piece = BytesMut::new();
+            self.add(&mut piece, &data, body.chunked);
+            self.piece = piece.freeze();
+        }
+        let count = match tx.write(&self.piece).await {
+            Ok(0) => Err("connection closed by the peer".to_owned()),
+            Ok(count) => Ok(count),
+            Err(err) => Err(err.to_string()),
+        };
+        let count = count.map_err(SendError::Connection)?;
+        self.has_sent = true;
+        self.piece.advance(count);
+        Ok(())
+    }
+
+    /// Appends a part of the body to `piece`; an empty one is its end.
+    fn add(&mut self, piece: &mut BytesMut, data: &[u8], chunked: bool) {
+        self.taken += data.len();
+        if data.is_empty() {
+            self.body = None;
+        }
+        if chunked {
+            piece.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+        }
+        piece.extend_from_slice(data);
+        if chunked {
+            piece.extend_from_slice(b"\r\n");
+        }
     }
 }
 
--- a/src/http1/server.rs
+++ b/src/http1/server.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -10,8 +11,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use super::body::{BodyError, Framing, declared_framing, read_body};
+use super::body::{BodyDecoder, BodyError, Decoded, Framing, declared_framing};
 use super::client::set_socket_options;
+use super::request_body::{BodyMemory, RequestBody};
 use super::{MAX_HEADERS, READ_BYTES, connection_lists, header_map, write_headers};
 
 /// Time that a client has to receive a response; longer than any request deadline.
@@ -21,8 +23,13 @@
 const LINGER: Duration = Duration::from_millis(300);
 /// Bytes of pipelined requests that are buffered while a request is handled.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
+/// Time to read the rest of a body whose request has its response. A client that sends
+/// longer is disconnected.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Buffer space for each read while a body arrives.
+const BODY_READ_BYTES: usize = 16 << 10;
 
-/// Request with its whole body.
+/// Request whose body may still be arriving.
 #[derive(Debug, Clone)]
 pub(crate) struct Request {
     /// Method as received.
@@ -32,10 +39,10 @@
     /// All headers as received, hop-by-hop ones included.
     pub headers: HeaderMap,
     /// Body without its transfer coding.
-    pub body: Bytes,
+    pub body: Arc<RequestBody>,
     /// Time at which its first byte was available.
     pub received: Instant,
-    /// Whether the body used the chunked transfer coding.
+    /// Whether the body uses the chunked transfer coding.
     pub chunked: bool,
 }
 
@@ -46,7 +53,8 @@
     pub status: u16,
     /// Headers; hop-by-hop ones are dropped, and those of this connection are added.
     pub headers: HeaderMap,
-    /// Body; its length becomes the `content-length`.
+    /// Body; its length becomes the `content-length`, but in a response to a HEAD request
+    /// that of `headers` is kept.
     pub body: Bytes,
 }
 
@@ -59,7 +67,7 @@
     pub max_body_bytes: usize,
     /// Time to receive the head of a request, from its first byte on.
     pub header_timeout: Duration,
-    /// Time to wait for the next request, and to receive the body of a request.
+    /// Time to wait for the next request, and for more of a request's body.
     pub idle_timeout: Duration,
 }
 
@@ -81,6 +89,8 @@
     pub handler: H,
     /// Returns the limits in force; called before each request.
     pub limits: Box<dyn Fn() -> RequestLimits + Send + Sync>,
+    /// Memory for the bodies of requests.
+    pub body_memory: Arc<BodyMemory>,
     /// Current phase of a graceful shutdown.
     pub shutdown: watch::Receiver<ShutdownPhase>,
 }
@@ -99,24 +109,42 @@
     let mut shutdown = context.shutdown.clone();
     loop {
         let limits = (context.limits)();
-        let next = conn.next_request(limits, &mut shutdown).await;
-        let (reply, keep_alive, is_head) = match next {
-            Next::Request(req) => {
-                let is_head = req.method == "HEAD";
-                let keep_alive = !connection_lists(&req.headers, "close");
-                let Some(reply) = conn.run((context.handler)(req, peer)).await else {
-                    return;
-                };
-                (reply, keep_alive, is_head)
+        let (head, received) = match conn.next_head(limits, &mut shutdown).await {
+            Next::Request(head, received) => (head, received),
+            Next::Reject(status) => {
+                let reply = Reply::empty(status);
+                if conn.send(&encode(&reply, Persistence::Close, false)).await {
+                    conn.close().await;
+                }
+                return;
             }
-            Next::Reject(status) => (Reply::empty(status), false, false),
             Next::End => return,
         };
-        let keep_alive = keep_alive && *shutdown.borrow() == ShutdownPhase::Serving;
-        if !conn.send(&encode(&reply, keep_alive, is_head)).await {
+        let persistence = head.persistence();
+        let is_head = head.method == "HEAD";
+        let mut incoming = IncomingBody::new(&head, limits, &context.body_memory);
+        let req = Request {
+            method: head.method,
+            target: head.target,
+            headers: head.headers,
+            body: incoming.body.clone(),
+            received,
+            chunked: head.framing == Framing::Chunked,
+        };
+        let handler = (context.handler)(req, peer);
+        let Some(reply) = conn.run(handler, &mut incoming).await else {
+            return;
+        };
+        let is_serving = *shutdown.borrow() == ShutdownPhase::Serving;
+        let persistence = if is_serving && incoming.may_end() {
+            persistence
+        } else {
+            Persistence::Close
+        };
+        if !conn.send(&encode(&reply, persistence, is_head)).await {
             return;
         }
-        if !keep_alive {
+        if !conn.discard_rest(&mut incoming).await || persistence == Persistence::Close {
             conn.close().await;
             return;
         }
@@ -140,8 +168,8 @@
 
 /// What to do next on a connection.
 enum Next {
-    /// Handle a request.
-    Request(Request),
+    /// Handle a request whose first byte was available at this time.
+    Request(Head, Instant),
     /// Reject an invalid request with this status and close the connection.
     Reject(u16),
     /// End the connection without a response.
@@ -153,10 +181,131 @@
     target: String,
     headers: HeaderMap,
     framing: Framing,
+    is_http11: bool,
+}
+
+/// Whether a connection is kept open after a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Persistence {
+    /// It is, as the version implies.
+    Keep,
+    /// It is, and an HTTP/1.0 client that asked for it must be told.
+    KeepAsAsked,
+    /// It is closed.
+    Close,
+}
+
+impl Head {
+    fn persistence(&self) -> Persistence {
+        if connection_lists(&self.headers, "close") {
+            Persistence::Close
+        } else if self.is_http11 {
+            Persistence::Keep
+        } else if connection_lists(&self.headers, "keep-alive") {
+            Persistence::KeepAsAsked
+        } else {
+            Persistence::Close
+        }
+    }
+
+    /// Whether the client waits for an interim response before it sends the body.
+    ///
+    /// # Errors
+    /// The status to reject an unknown expectation with.
+    fn expects_continue(&self) -> Result<bool, u16> {
+        let Some(value) = self.headers.get(http::header::EXPECT) else {
+            return Ok(false);
+        };
+        if !value.as_bytes().eq_ignore_ascii_case(b"100-continue") {
+            return Err(417);
+        }
+        Ok(self.is_http11)
+    }
+}
+
+/// The body of the current request, as the connection receives it.
+struct IncomingBody {
+    body: Arc<RequestBody>,
+    decoder: Option<BodyDecoder>,
+    /// Whether the client waits for an interim response before it sends the body.
+    awaits_continue: bool,
+    idle_timeout: Duration,
+    last_progress: Instant,
+}
+
+impl IncomingBody {
+    fn new(head: &Head, limits: RequestLimits, memory: &Arc<BodyMemory>) -> Self {
+        let declared = match head.framing {
+            Framing::Length(length) => Some(length),
+            Framing::None => Some(0),
+            Framing::Chunked | Framing::UntilClose => None,
+        };
+        let body = Arc::new(RequestBody::new(declared, memory.clone()));
+        let decoder = match BodyDecoder::new(head.framing, limits.max_body_bytes) {
+            Ok(decoder) => Some(decoder),
+            Err(err) => {
+                body.end(Err(err));
+                None
+            }
+        };
+        Self {
+            body,
+            decoder,
+            awaits_continue: head.expects_continue() == Ok(true),
+            idle_timeout: limits.idle_timeout,
+            last_progress: Instant::now(),
+        }
+    }
+
+    /// Whether more of it may arrive.
+    fn is_open(&self) -> bool {
+        let complete = self.decoder.as_ref().is_none_or(BodyDecoder::is_complete);
+        !complete
+    }
+
+    /// Whether its end can be found, so that another request may follow it.
+    fn may_end(&self) -> bool {
+        self.decoder.is_some() && !self.awaits_continue
+    }
+
+    /// Moves what has arrived of it from `buf` to the body.
+    fn receive(&mut self, buf: &mut BytesMut) {
+        while let Some(decoder) = &mut self.decoder
+            && self.body.has_space()
+        {
+            match decoder.decode(buf, BODY_READ_BYTES) {
+                Ok(Decoded::Data(data)) => {
+                    self.awaits_continue = false;
+                    self.body.push(&data);
+                }
+                Ok(Decoded::Incomplete) => return,
+                Ok(Decoded::End) => {
+                    self.awaits_continue = false;
+                    self.body.end(Ok(()));
+                    return;
+                }
+                Err(err) => self.fail(err),
+            }
+        }
+    }
+
+    fn fail(&mut self, err: BodyError) {
+        self.decoder = None;
+        self.body.end(Err(err));
+    }
+
+    fn record_progress(&mut self) {
+        self.last_progress = Instant::now();
+    }
+
+    fn idle_deadline(&self) -> Instant {
+        self.last_progress + self.idle_timeout
+    }
 }
 
 impl ServerConn {
-    async fn next_request(
+    /// Reads the head of the next request.
+    async fn next_head(
         &mut self,
         limits: RequestLimits,
         shutdown: &mut watch::Receiver<ShutdownPhase>,
@@ -170,34 +319,12 @@
             Ok(Err(next)) => return next,
             Err(_) => return Next::Reject(408),
         };
-        if head.headers.contains_key(http::header::EXPECT)
-            && self
-                .stream
-                .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
-                .await
-                .is_err()
-        {
-            return Next::End;
+        if let Err(status) = head.expects_continue() {
+            return Next::Reject(status);
         }
-        let reading = read_body(
-            &mut self.stream,
-            &mut self.buf,
-            head.framing,
-            limits.max_body_bytes,
-        );
-        match tokio::time::timeout(limits.idle_timeout, reading).await {
-            Ok(Ok(body)) => Next::Request(Request {
-                method: head.method,
-                target: head.target,
-                headers: head.headers,
-                body,
-                received,
-                chunked: head.framing == Framing::Chunked,
-            }),
-            Ok(Err(BodyError::TooLarge(_))) => Next::Reject(413),
-            Ok(Err(BodyError::Malformed(_))) => Next::Reject(400),
-            Ok(Err(BodyError::Truncated(_))) => Next::End,
-            Err(_) => Next::Reject(408),
+        match head.framing {
+            Framing::Length(length) if length > limits.max_body_bytes => Next::Reject(413),
+            _ => Next::Request(head, received),
         }
     }
 
@@ -240,20 +367,72 @@
         }
     }
 
-    /// Runs a handler while reading ahead, which detects a disconnect of the client.
-    /// Returns `None` if the client disconnected first.
-    async fn run(&mut self, handler: impl Future<Output = Reply>) -> Option<Reply> {
+    /// Runs a handler while receiving the body and reading ahead, which detects a
+    /// disconnect of the client. Returns `None` if the client disconnected first.
+    async fn run(
+        &mut self,
+        handler: impl Future<Output = Reply>,
+        incoming: &mut IncomingBody,
+    ) -> Option<Reply> {
         tokio::pin!(handler);
         loop {
-            let may_read = self.buf.len() < MAX_READ_AHEAD_BYTES;
-            self.buf.reserve(READ_BYTES);
+            incoming.receive(&mut self.buf);
+            if incoming.awaits_continue {
+                // A request that is refused at once is refused before its body is sent.
+                tokio::select! {
+                    biased;
+                    reply = &mut handler => return Some(reply),
+                    () = std::future::ready(()) => {}
+                }
+                incoming.awaits_continue = false;
+                if !self.send(b"HTTP/1.1 100 Continue\r\n\r\n").await {
+                    return None;
+                }
+            }
+            let is_open = incoming.is_open();
+            let may_read = if is_open {
+                incoming.body.has_space()
+            } else {
+                self.buf.len() < MAX_READ_AHEAD_BYTES
+            };
+            self.buf
+                .reserve(if is_open { BODY_READ_BYTES } else { READ_BYTES });
+            let idle = tokio::time::sleep_until(incoming.idle_deadline().into());
             tokio::select! {
                 biased;
                 reply = &mut handler => return Some(reply),
                 read = self.stream.read_buf(&mut self.buf), if may_read => match read {
-                    Ok(count) if count > 0 => {}
+                    Ok(count) if count > 0 => incoming.record_progress(),
                     _ => return None,
                 },
+                () = incoming.body.freed(), if is_open && !may_read => incoming.record_progress(),
+                () = idle, if is_open && may_read => {
+                    let err = BodyError::Stalled(incoming.idle_timeout);
+                    incoming.fail(err);
+                }
+            }
+        }
+    }
+
+    /// Reads and drops the rest of a request's body, after which the next request follows.
+    /// False if the connection must be closed.
+    async fn discard_rest(&mut self, incoming: &mut IncomingBody) -> bool {
+        let deadline = Instant::now() + DISCARD_TIMEOUT;
+        loop {
+            let Some(decoder) = &mut incoming.decoder else {
+                return false;
+            };
+            match decoder.decode(&mut self.buf, usize::MAX) {
+                Ok(Decoded::Data(_)) => continue,
+                Ok(Decoded::End) => return true,
+                Ok(Decoded::Incomplete) => {}
+                Err(_) => return false,
+            }
+            self.buf.reserve(BODY_READ_BYTES);
+            let reading = self.stream.read_buf(&mut self.buf);
+            let read = tokio::time::timeout_at(deadline.into(), reading).await;
+            if !matches!(read, Ok(Ok(count)) if count > 0) {
+                return false;
             }
         }
     }
@@ -302,6 +481,7 @@
                 target: req.path.unwrap_or_default().to_owned(),
                 headers,
                 framing: framing.unwrap_or(Framing::None),
+                is_http11: req.version == Some(1),
             };
             Ok(Some((head, length)))
         }
@@ -311,8 +491,9 @@
     }
 }
 
-/// Encodes a response; one to a HEAD request declares its length but has no body.
-fn encode(reply: &Reply, keep_alive: bool, is_head: bool) -> BytesMut {
+/// Encodes a response. One to a HEAD request has no body, and declares the length that
+/// the headers of `reply` declare, if any.
+fn encode(reply: &Reply, persistence: Persistence, is_head: bool) -> BytesMut {
     let mut buf = BytesMut::with_capacity(256 + reply.body.len());
     let reason = http::StatusCode::from_u16(reply.status)
         .ok()
@@ -320,11 +501,19 @@
         .unwrap_or("Unknown");
     buf.extend_from_slice(format!("HTTP/1.1 {} {reason}\r\n", reply.status).as_bytes());
     write_headers(&mut buf, &reply.headers);
-    if reply.status != 204 && reply.status != 304 {
+    if is_head {
+        if let Some(length) = reply.headers.get(http::header::CONTENT_LENGTH) {
+            buf.extend_from_slice(b"content-length: ");
+            buf.extend_from_slice(length.as_bytes());
+            buf.extend_from_slice(b"\r\n");
+        }
+    } else if reply.status != 204 && reply.status != 304 {
         buf.extend_from_slice(format!("content-length: {}\r\n", reply.body.len()).as_bytes());
     }
-    if !keep_alive {
-        buf.extend_from_slice(b"connection: close\r\n");
+    match persistence {
+        Persistence::Keep => {}
+        Persistence::KeepAsAsked => buf.extend_from_slice(b"connection: keep-alive\r\n"),
+        Persistence::Close => buf.extend_from_slice(b"connection: close\r\n"),
     }
     buf.extend_from_slice(b"\r\n");
     if !is_head {
--- a/src/platform/prepared/settings.rs
+++ b/src/platform/prepared/settings.rs
@@ -12,6 +12,10 @@
 
 /// Environment variable with the path of the settings file.
 const PATH_VARIABLE: &str = "WAGTAILSADDLE_SETTINGS";
+const BYTES_PER_MEGABYTE: f64 = 1e6;
+/// Fraction of the instance's memory for the bodies of requests. Responses, connections
+/// and the view of the targets need the rest.
+const BODY_MEMORY_FRACTION: f64 = 0.125;
 /// Path of the settings file if the variable is not set.
 const DEFAULT_PATH: &str = "/etc/wagtailsaddle/settings.json";
 
@@ -75,6 +79,21 @@
     #[serde(default)]
     bounds: Bounds,
     platform: Platform,
+    #[serde(default)]
+    limits: Limits,
+}
+
+/// Resources of the instance.
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    memory_mb: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { memory_mb: 160.0 }
+    }
 }
 
 #[derive(Deserialize)]
@@ -93,7 +112,6 @@
 #[derive(Deserialize)]
 #[serde(default)]
 struct Bounds {
-    drain_ms: f64,
     grace_s: f64,
     retry_budget_ratio: f64,
     budget_window_s: f64,
@@ -107,7 +125,6 @@
 impl Default for Bounds {
     fn default() -> Self {
         Self {
-            drain_ms: 2000.0,
             grace_s: 6.0,
             retry_budget_ratio: 0.2,
             budget_window_s: 10.0,
@@ -157,6 +174,10 @@
         bounds.probes_per_s > 0.0,
         "bounds.probes_per_s: must be above 0",
     );
+    require(
+        wire.limits.memory_mb > 0.0,
+        "limits.memory_mb: must be above 0",
+    );
     problems
 }
 
@@ -177,7 +198,6 @@
         first_start: wire.bootstrap,
         store: wire.platform.address,
         grace: duration_from_secs(bounds.grace_s),
-        leave_within: duration_from_secs(bounds.drain_ms / 1000.0),
         repeat_ratio: bounds.retry_budget_ratio,
         repeat_window: duration_from_secs(bounds.budget_window_s),
         repeat_slack: bounds.budget_slack,
@@ -185,9 +205,20 @@
         cold_slack: bounds.cold_slack,
         max_directory_ttl: duration_from_secs(bounds.ttl_max_s),
         max_probe_rate: bounds.probes_per_s,
+        body_memory: body_memory(wire.limits.memory_mb),
     }
 }
 
+/// Bytes for the bodies of requests, of the instance's memory in megabytes.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "checked to be positive; conversion saturates"
+)]
+fn body_memory(memory_mb: f64) -> usize {
+    (memory_mb * BYTES_PER_MEGABYTE * BODY_MEMORY_FRACTION) as usize
+}
+
 fn duration_from_secs(value: f64) -> Duration {
     Duration::try_from_secs_f64(value.max(0.0)).unwrap_or(Duration::MAX)
 }
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -208,6 +208,7 @@
         self.calls.with_label_values(&[kind]).inc();
         let outgoing = OutgoingRequest {
             bytes: req,
+            body: None,
             is_head: false,
             max_response_bytes: MAX_RESPONSE_BYTES,
         };
