Take a configuration whole or not at all, and serve routes of unknown kinds at most once

An invalid record of the configuration counted as removed, so peers that started later got none from that instance; an older version written later was passed on to them.

Change: the kind upload runs at most once. A configuration with an invalid row is rejected and the last valid one stays, also for peers. The store accepts only kinds that it knows, so a kind that this release doesn't know is served and runs at most once. Both are in the log once, in a metric and in the state dump.

--- a/src/entry/endpoints.rs
+++ b/src/entry/endpoints.rs
@@ -5,6 +5,7 @@
 
 use http::HeaderValue;
 
+use super::model::UnknownKind;
 use super::shared::Shared;
 use super::state::State;
 use crate::http1::server::{Reply, Request};
@@ -45,16 +46,28 @@
 /// Responds to an operator's request for metrics or the state dump.
 pub(crate) fn serve_operator(shared: &Arc<Shared>, req: &Request) -> Reply {
     match path(req) {
-        METRICS_PATH => Reply {
-            status: 200,
-            body: shared.metrics.encode().into(),
-            ..Reply::default()
-        },
+        METRICS_PATH => {
+            let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+            let unknown_kinds = unknown_kinds(&shared.state()).len();
+            shared.metrics.unknown_kinds.set(gauge(unknown_kinds));
+            let body_bytes = shared.body_memory.total();
+            shared.metrics.body_bytes.set(gauge(body_bytes));
+            Reply {
+                status: 200,
+                body: shared.metrics.encode().into(),
+                ..Reply::default()
+            }
+        }
         DUMP_PATH => json(dump(&shared.state(), shared.now()).to_string().into_bytes()),
         _ => Reply::empty(404),
     }
 }
 
+fn unknown_kinds(state: &State) -> &[UnknownKind] {
+    let configuration = state.replica.configuration();
+    configuration.map_or(&[], |configuration| &configuration.unknown_kinds)
+}
+
 fn dump(state: &State, now: crate::units::Time) -> serde_json::Value {
     let targets: Vec<_> = state
         .targets
@@ -93,6 +106,8 @@
         "standing": state.status,
         "revision": state.replica.revision(),
         "evacuated": state.targets.evacuated(),
+        "unknown_kinds": unknown_kinds(state),
+        "rejected_records": state.rejected.values().collect::<Vec<_>>(),
         "targets": targets,
         "peers": peers,
     })
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -29,6 +29,12 @@
     pub connects: IntCounter,
     /// Health checks sent to targets.
     pub probes: IntCounter,
+    /// Records of the store that can't be decoded.
+    pub rejected_records: IntCounter,
+    /// Routes of the configuration in force whose kind is unknown.
+    pub unknown_kinds: IntGauge,
+    /// Bytes held for the bodies of requests, beyond the first 16 KiB of each.
+    pub body_bytes: IntGauge,
     /// Calls to the platform's store, by kind.
     pub store_calls: Arc<IntCounterVec>,
 }
@@ -57,8 +63,12 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok::<_, prometheus::Error>(histogram)
         };
-        let dropped_lines = IntGauge::new("entry_log_dropped", "Log lines dropped so far.")?;
-        registry.register(Box::new(dropped_lines.clone()))?;
+        let gauge = |name: &str, help: &str| -> Result<IntGauge, prometheus::Error> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let dropped_lines = gauge("entry_log_dropped", "Log lines dropped so far.")?;
         Ok(Self {
             dropped_lines,
             requests: by_label("entry_requests_total", "Requests by outcome.", "outcome")?,
@@ -68,6 +78,12 @@
             hedges: counter("entry_hedges_total", "Hedges sent beside a slow attempt.")?,
             connects: counter("entry_connects_total", "Connections opened to targets.")?,
             probes: counter("entry_probes_total", "Health checks sent to targets.")?,
+            rejected_records: counter(
+                "entry_rejected_records_total",
+                "Invalid records of the store.",
+            )?,
+            unknown_kinds: gauge("entry_unknown_route_kinds", "Routes whose kind is unknown.")?,
+            body_bytes: gauge("entry_body_bytes", "Bytes held for the bodies of requests.")?,
             store_calls: Arc::new(by_label(
                 "entry_store_calls_total",
                 "Calls to the store by kind.",
--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -70,6 +70,15 @@
         pub idle_time: Duration,
     }
 
+    /// A route whose kind this release does not know; its requests run at most once.
+    #[derive(Eq)]
+    pub struct UnknownKind {
+        /// Name of the route.
+        pub route: std::sync::Arc<str>,
+        /// Its kind.
+        pub kind: std::sync::Arc<str>,
+    }
+
     /// A complete configuration.
     pub struct Configuration {
         /// Version; newer configurations have higher ones.
@@ -80,6 +89,10 @@
         pub services: indexmap::IndexMap<ServiceName, ServiceLimits>,
         /// Limits on callers.
         pub bounds: CallerLimits,
+        /// Routes of unknown kinds. Peers that get the configuration from this instance
+        /// don't get this list, so that earlier releases can decode it.
+        #[serde(skip)]
+        pub unknown_kinds: Vec<UnknownKind>,
     }
 
     /// A target as registered in the store.
--- a/src/entry/replica.rs
+++ b/src/entry/replica.rs
@@ -134,6 +134,7 @@
             .entries
             .iter()
             .filter(|(key, entry)| entry.revision <= delta.revision && !present.contains(&***key))
+            .filter(|(_, entry)| !matches!(entry.record, Record::Configuration(_)))
             .map(|(key, _)| key.clone())
             .collect();
         for key in missing {
@@ -159,6 +160,11 @@
         let Some(record) = change.record else {
             return self.remove(change.key, change.revision);
         };
+        if let Record::Configuration(configuration) = &record
+            && self.is_outdated(configuration)
+        {
+            return None;
+        }
         let entry = Entry {
             revision: change.revision,
             record: record.clone(),
@@ -172,17 +178,29 @@
     }
 
     fn update_configuration(&mut self, configuration: Arc<Configuration>) -> Option<Applied> {
-        let newer = self
+        let is_newer = self
             .configuration
             .as_ref()
             .is_none_or(|present| present.version < configuration.version);
-        newer.then(|| {
+        is_newer.then(|| {
             self.configuration = Some(configuration.clone());
             Applied::Configuration(configuration)
         })
     }
 
+    /// Whether a configuration is older than the one in force. Peers must not get it from
+    /// here either.
+    fn is_outdated(&self, configuration: &Configuration) -> bool {
+        let present = self.configuration.as_ref();
+        present.is_some_and(|present| present.version > configuration.version)
+    }
+
+    /// Removes a record. The configuration stays, so that peers still get it from here.
     fn remove(&mut self, key: Arc<str>, revision: u64) -> Option<Applied> {
+        let present = self.entries.get(&key).map(|entry| &entry.record);
+        if matches!(present, Some(Record::Configuration(_))) {
+            return None;
+        }
         self.tombstones.push_back((revision, key.clone()));
         while self.tombstones.len() > MAX_TOMBSTONES {
             if let Some((at, _)) = self.tombstones.pop_front() {
@@ -190,10 +208,7 @@
             }
         }
         let entry = self.entries.swap_remove(&key)?;
-        match entry.record {
-            Record::Configuration(_) => None,
-            record => Some(Applied::Removed(key, record)),
-        }
+        Some(Applied::Removed(key, entry.record))
     }
 }
 
--- a/src/entry/replica/tests.rs
+++ b/src/entry/replica/tests.rs
@@ -18,6 +18,7 @@
         routes: Vec::new(),
         services: IndexMap::new(),
         bounds: CallerLimits::default(),
+        unknown_kinds: Vec::new(),
     }))
 }
 
@@ -123,6 +124,9 @@
     assert_eq!(replica.configuration().unwrap().version, 7);
     replica.apply(delta(7, false, vec![change("c", 7, None)]));
     assert_eq!(replica.configuration().unwrap().version, 7);
+    let mut peer = Replica::default();
+    peer.apply(replica.delta_since(0));
+    assert_eq!(peer.configuration().unwrap().version, 7);
     replica.apply(put(8, 9));
     assert_eq!(replica.configuration().unwrap().version, 9);
 }
--- a/src/entry/routes/tests.rs
+++ b/src/entry/routes/tests.rs
@@ -32,6 +32,7 @@
         routes,
         services: IndexMap::new(),
         bounds: CallerLimits::default(),
+        unknown_kinds: Vec::new(),
     })
 }
 
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -24,6 +24,7 @@
 use super::window::{RetryBudget, RetryBudgetRule, slack_share};
 use crate::dispatch::quarantine::{Quarantine, QuarantineSettings};
 use crate::names::{ServiceName, TargetId, ZoneName};
+use crate::platform::prepared::store::RejectedRecord;
 use crate::units::Time;
 
 /// Fraction of the configured retry ratio that is used. The rest allows for callers
@@ -91,6 +92,8 @@
     /// Requests that wait for capacity, by service.
     pub wait_queues: IndexMap<ServiceName, WaitQueue>,
     registered: IndexMap<Arc<str>, SocketAddr>,
+    /// Records that can't be decoded, by key.
+    pub rejected: IndexMap<Arc<str>, RejectedRecord>,
     /// Start of the process.
     pub started: Time,
     /// Whether all instances were started for the first time together with this one.
@@ -138,6 +141,7 @@
             splitters: IndexMap::new(),
             wait_queues: IndexMap::new(),
             registered: IndexMap::new(),
+            rejected: IndexMap::new(),
             started: now,
             watched_at: now,
             recovering_until: Time::ZERO,
@@ -171,6 +175,9 @@
     }
 
     fn apply_change(&mut self, now: Time, change: &Applied, lapsed: bool) {
+        if let Applied::Put(key, _) | Applied::Removed(key, _) = change {
+            self.rejected.swap_remove(key);
+        }
         match change {
             Applied::Configuration(configuration) => {
                 self.routes = RouteTable::new(configuration);
@@ -497,6 +504,7 @@
         Applied::Configuration(configuration) => tracing::info!(
             version = configuration.version,
             routes = configuration.routes.len(),
+            unknown_kinds = ?configuration.unknown_kinds,
             revision,
             source,
             "configuration in force"
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -11,7 +11,9 @@
 use super::shared::Shared;
 use super::watchers::StoreAccess;
 use crate::platform::prepared::record;
-use crate::platform::prepared::store::{ChangeSet, ReadConsistency, StoreClient, StoreError};
+use crate::platform::prepared::store::{
+    ChangeSet, ReadConsistency, RejectedRecord, StoreClient, StoreError,
+};
 
 /// Interval at which this instance checks whether it should watch, and for changes of
 /// the replica.
@@ -30,6 +32,9 @@
 /// as stalled; changes are batched for a fraction of it.
 const STALL_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Number of invalid records that are kept for the state dump.
+const MAX_REJECTED: usize = 64;
+
 /// Exponential backoff between failed calls, with jitter so that instances do not call
 /// together.
 #[derive(Debug)]
@@ -191,6 +196,7 @@
 
 fn apply(shared: &Shared, change_set: ChangeSet, complete: bool) {
     let now = shared.now();
+    shared.record_rejected(change_set.rejected);
     let changes: Vec<Change> = change_set.changes;
     let delta = Delta {
         revision: change_set.revision,
@@ -267,6 +273,27 @@
 }
 
 impl Shared {
+    /// Logs and counts records that can't be decoded, each revision once.
+    fn record_rejected(&self, rejected: Vec<RejectedRecord>) {
+        for record in rejected {
+            let mut state = self.state();
+            if state.rejected.get(&record.key) == Some(&record) {
+                continue;
+            }
+            tracing::warn!(
+                key = &*record.key,
+                revision = record.revision,
+                problem = record.problem,
+                "skipped an invalid record"
+            );
+            self.metrics.rejected_records.inc();
+            if state.rejected.len() >= MAX_REJECTED {
+                state.rejected.swap_remove_index(0);
+            }
+            state.rejected.insert(record.key.clone(), record);
+        }
+    }
+
     /// Registrations to remove, with their revisions: those of instances that have been
     /// silent for long. Only the first of the live instances removes them.
     fn stale_registrations(&self) -> Vec<(Arc<str>, u64)> {
--- a/src/platform/prepared/record.rs
+++ b/src/platform/prepared/record.rs
@@ -11,7 +11,7 @@
 
 use crate::entry::model::{
     CallerLimits, Configuration, Record, Registration, RetrySafety, Route, ServiceLimits, Target,
-    WeightedService,
+    UnknownKind, WeightedService,
 };
 use crate::names::{ServiceName, ZoneName};
 
@@ -29,6 +29,12 @@
     format!("{INSTANCE_PREFIX}{address}")
 }
 
+/// Whether a key is that of the configuration. An invalid configuration does not replace
+/// the one in force, while any other invalid record counts as removed.
+pub(crate) fn is_configuration(key: &str) -> bool {
+    key == CONFIGURATION_KEY
+}
+
 /// Encodes the value that an instance registers.
 pub(crate) fn registration_value(registration: &Registration) -> Vec<u8> {
     let value = InstanceValue {
@@ -41,7 +47,7 @@
 /// Decodes a record; `Ok(None)` for keys that entry instances don't use.
 ///
 /// # Errors
-/// Describes why the record is invalid; such a record is skipped.
+/// Describes why the record is invalid, see [`is_configuration`] for what follows.
 pub(crate) fn decode(key: &str, value: &[u8]) -> Result<Option<Record>, String> {
     if key == CONFIGURATION_KEY {
         return decode_configuration(value)
@@ -114,24 +120,26 @@
 }
 
 impl Table {
-    /// Decodes each row as an object of its non-null fields. Invalid rows are logged and
-    /// skipped.
-    fn decode<T: DeserializeOwned>(self, what: &str) -> Vec<T> {
+    /// Decodes each row as an object of its non-null fields; unknown fields are ignored.
+    ///
+    /// # Errors
+    /// Names the first invalid row.
+    fn decode<T: DeserializeOwned>(self, what: &str) -> Result<Vec<T>, String> {
         let columns = self.columns;
-        self.rows
-            .into_iter()
-            .filter_map(|row| {
-                let object: Map<String, Value> = columns
-                    .iter()
-                    .cloned()
-                    .zip(row)
-                    .filter(|(_, value)| !value.is_null())
-                    .collect();
-                serde_json::from_value(Value::Object(object))
-                    .map_err(|err| tracing::warn!(what, %err, "skipped an invalid row of the configuration"))
-                    .ok()
+        let decode_row = |(number, row): (usize, Vec<Value>)| {
+            let object: Map<String, Value> = columns
+                .iter()
+                .cloned()
+                .zip(row)
+                .filter(|(_, value)| !value.is_null())
+                .collect();
+            let name = object.get("name").map(ToString::to_string);
+            serde_json::from_value(Value::Object(object)).map_err(|err| {
+                let name = name.unwrap_or_else(|| format!("in row {number}"));
+                format!("{what} {name}: {err}")
             })
-            .collect()
+        };
+        self.rows.into_iter().enumerate().map(decode_row).collect()
     }
 }
 
@@ -152,12 +160,20 @@
     idle_timeout_ms: f64,
 }
 
+/// Kind of a route's requests; it determines whether they may be repeated.
 #[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum RouteType {
     Safe,
     Unsafe,
+    /// Requests with large responses, which may be repeated.
     Download,
+    /// Requests with large bodies, which may run at most once.
+    Upload,
+    /// A kind of a later release. The platform's store accepts only kinds that it knows,
+    /// so the route is served, and its requests run at most once.
+    #[serde(untagged)]
+    Unknown(Arc<str>),
 }
 
 #[derive(Deserialize)]
@@ -206,23 +222,31 @@
             head_time: duration_from_millis(limits.header_timeout_ms),
             idle_time: duration_from_millis(limits.idle_timeout_ms),
         });
-    let services: IndexMap<ServiceName, ServiceLimits> = wire
-        .services
-        .decode::<ServiceValue>("service")
-        .into_iter()
-        .map(convert_service)
-        .collect();
-    let routes = wire
-        .routes
-        .decode::<RouteValue>("route")
-        .into_iter()
-        .filter_map(convert_route)
-        .collect();
+    let services = wire.services.decode::<ServiceValue>("service")?;
+    let services: IndexMap<ServiceName, ServiceLimits> =
+        services.into_iter().map(convert_service).collect();
+    let routes = wire.routes.decode::<RouteValue>("route")?;
+    let unknown_kinds = routes.iter().filter_map(unknown_kind).collect();
+    let convert = |route: RouteValue| {
+        let name = route.name.clone();
+        convert_route(route, &services).map_err(|problem| format!("route {name}: {problem}"))
+    };
     Ok(Configuration {
         version: parse_version(&wire.version)?,
-        routes,
+        routes: routes.into_iter().map(convert).collect::<Result<_, _>>()?,
         services,
         bounds,
+        unknown_kinds,
+    })
+}
+
+fn unknown_kind(route: &RouteValue) -> Option<UnknownKind> {
+    let RouteType::Unknown(kind) = &route.route_type else {
+        return None;
+    };
+    Some(UnknownKind {
+        route: route.name.clone(),
+        kind: kind.clone(),
     })
 }
 
@@ -235,43 +259,70 @@
     ((&*wire.name).into(), limits)
 }
 
-fn convert_route(wire: RouteValue) -> Option<Route> {
-    let timeout = duration_from_millis(wire.timeout_ms);
-    let split = wire.traffic_split.unwrap_or_default();
-    let mut parts: Vec<WeightedService> = split
-        .into_iter()
-        .filter(|weighted| weighted.weight > 0.0)
-        .map(|weighted| WeightedService {
-            service: (&*weighted.service).into(),
-            weight: weighted.weight,
-        })
-        .collect();
-    if parts.is_empty() {
-        parts.extend(wire.service.map(|service| WeightedService {
-            service: (&*service).into(),
-            weight: 1.0,
-        }));
+fn convert_route(
+    wire: RouteValue,
+    services: &IndexMap<ServiceName, ServiceLimits>,
+) -> Result<Route, String> {
+    if wire.timeout_ms.is_nan() || wire.timeout_ms <= 0.0 {
+        return Err("timeout_ms must be above 0".into());
     }
-    if parts.is_empty() {
-        tracing::warn!(route = %wire.name, "skipped a route without a service");
-        return None;
+    if wire.max_attempts == Some(0) {
+        return Err("max_attempts must be at least 1".into());
     }
-    Some(Route {
+    let parts = convert_parts(wire.traffic_split.unwrap_or_default(), wire.service)?;
+    let unknown = |part: &&WeightedService| !services.contains_key(&part.service);
+    if let Some(part) = parts.iter().find(unknown) {
+        return Err(format!("the service {} is not defined", part.service));
+    }
+    let timeout = duration_from_millis(wire.timeout_ms);
+    Ok(Route {
         name: wire.name,
         host: wire.host,
         prefix: wire.prefix,
         retry_safety: match wire.route_type {
-            RouteType::Unsafe => RetrySafety::Never,
             RouteType::Safe | RouteType::Download => RetrySafety::Safe,
+            RouteType::Unsafe | RouteType::Upload | RouteType::Unknown(_) => RetrySafety::Never,
         },
         timeout,
         objective: wire.target_latency_ms.map_or(timeout, duration_from_millis),
         priority: wire.priority,
-        max_attempts: wire.max_attempts.unwrap_or(1).max(1),
+        max_attempts: wire.max_attempts.unwrap_or(1),
         parts,
     })
 }
 
+/// The services that share a route's requests; at least one.
+fn convert_parts(
+    split: Vec<WeightedServiceValue>,
+    service: Option<Box<str>>,
+) -> Result<Vec<WeightedService>, String> {
+    if split
+        .iter()
+        .any(|part| !(part.weight >= 0.0 && part.weight.is_finite()))
+    {
+        return Err("a weight must be a number that is not negative".into());
+    }
+    let is_split = !split.is_empty();
+    let weighted = split.into_iter().filter(|part| part.weight > 0.0);
+    let mut parts: Vec<WeightedService> = weighted
+        .map(|part| WeightedService {
+            service: (&*part.service).into(),
+            weight: part.weight,
+        })
+        .collect();
+    if parts.is_empty() {
+        parts.extend(service.map(|service| WeightedService {
+            service: (&*service).into(),
+            weight: 1.0,
+        }));
+    }
+    match (parts.is_empty(), is_split) {
+        (false, _) => Ok(parts),
+        (true, true) => Err("one of the weights must be above 0".into()),
+        (true, false) => Err("it names no service".into()),
+    }
+}
+
 /// Parses a version: the letter `r` and a number.
 fn parse_version(text: &str) -> Result<u64, String> {
     text.strip_prefix('r')
--- a/src/platform/prepared/record/tests.rs
+++ b/src/platform/prepared/record/tests.rs
@@ -1,3 +1,5 @@
+use std::fmt::Write;
+
 use super::*;
 
 const CONFIGURATION_TEXT: &str = r#"{
@@ -8,26 +10,100 @@
             ["one", "a.example", "/x/", "safe", 1000, 250, 2, [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}], 2, null],
             ["two", "b.example", "/y/", "unsafe", 1200.5, null, 1, null, 2, "u"],
             ["three", "b.example", "/z/", "download", 1200, 300, 1, null, null, "u"],
-            ["unknown type", "b.example", "/o/", "other", 1200, 300, 1, null, 2, "u"],
-            ["no timeout", "b.example", "/n/", "safe", null, 300, 1, null, 2, "u"],
-            ["no service", "b.example", "/s/", "safe", 1000, 300, 1, null, 2, null]
+            ["four", "b.example", "/f/", "upload", 2500, 400, 1, null, 2, "s"],
+            ["later kind", "b.example", "/o/", "other", 1200, 300, 1, null, 2, "u"]
         ]
     },
     "services": {
         "columns": ["name", "health_path", "max_connections", "protocol", "warmup_s", "warmup_per_s"],
-        "rows": [["s", "/health", 220, "h1", 3.0, 21.0], ["u", "/h", null, "h1", 3.0, null], [5]]
+        "rows": [["s", "/health", 220, "h1", 3.0, 21.0], ["u", "/h", null, "h1", 3.0, null], ["t", "/h", null, "h1", 3.0, null]]
     },
     "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
 }"#;
 
 #[test]
-fn a_configuration_is_decoded_without_its_invalid_rows() {
+fn a_configuration_is_decoded_and_routes_of_unknown_kinds_run_at_most_once() {
     let Ok(Some(Record::Configuration(configuration))) =
         decode("op/config", CONFIGURATION_TEXT.as_bytes())
     else {
         panic!("the configuration was not decoded");
     };
     insta::assert_json_snapshot!(*configuration);
+    let unknown = UnknownKind {
+        route: "later kind".into(),
+        kind: "other".into(),
+    };
+    assert_eq!(configuration.unknown_kinds, [unknown]);
+}
+
+/// An invalid configuration is not taken at all: with some of its routes left out, their
+/// requests would get 404.
+#[test]
+fn an_invalid_row_makes_the_configuration_invalid() {
+    let valid = r#"["one", "a.example", "/x/", "safe", 1000, 250, 2, [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}], 2, null]"#;
+    let row = |text: &str| CONFIGURATION_TEXT.replace(valid, text);
+    let cases = [
+        (
+            "cut short",
+            CONFIGURATION_TEXT[..CONFIGURATION_TEXT.len() / 2].to_owned(),
+        ),
+        (
+            "unknown service",
+            row(r#"["one", "a.example", "/x/", "safe", 1000, 250, 2, null, 2, "nowhere"]"#),
+        ),
+        (
+            "a kind that is no name",
+            row(r#"["one", "a.example", "/x/", 7, 1000, 250, 2, null, 2, "s"]"#),
+        ),
+        (
+            "no kind",
+            row(r#"["one", "a.example", "/x/", null, 1000, 250, 2, null, 2, "s"]"#),
+        ),
+        (
+            "no weight",
+            row(
+                r#"["one", "a.example", "/x/", "safe", 1000, 250, 2, [{"service": "s"}], 2, null]"#,
+            ),
+        ),
+        (
+            "weights of 0",
+            row(
+                r#"["one", "a.example", "/x/", "safe", 1000, 250, 2, [{"service": "s", "weight": 0}], 2, null]"#,
+            ),
+        ),
+        (
+            "a negative weight",
+            row(
+                r#"["one", "a.example", "/x/", "safe", 1000, 250, 2, [{"service": "s", "weight": -1}, {"service": "t", "weight": 2}], 2, null]"#,
+            ),
+        ),
+        (
+            "no attempts",
+            row(r#"["one", "a.example", "/x/", "safe", 1000, 250, 2, null, 0, "s"]"#),
+        ),
+        (
+            "no timeout",
+            row(r#"["one", "a.example", "/x/", "safe", null, 250, 2, null, 2, "s"]"#),
+        ),
+        (
+            "a timeout of 0",
+            row(r#"["one", "a.example", "/x/", "safe", 0, 250, 2, null, 2, "s"]"#),
+        ),
+        (
+            "no service",
+            row(r#"["one", "a.example", "/x/", "safe", 1000, 250, 2, null, 2, null]"#),
+        ),
+        (
+            "a service without a name",
+            CONFIGURATION_TEXT.replace(r#"["t", "/h", null, "h1", 3.0, null]"#, "[5]"),
+        ),
+    ];
+    let mut seen = String::new();
+    for (name, text) in cases {
+        let problem = decode("op/config", text.as_bytes()).unwrap_err();
+        writeln!(seen, "{name}: {problem}").unwrap();
+    }
+    insta::assert_snapshot!(seen);
 }
 
 #[test]
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -60,6 +60,19 @@
     pub changes: Vec<Change>,
     /// Store revision of the result, from which the next watch starts.
     pub revision: u64,
+    /// Records that can't be decoded.
+    pub rejected: Vec<RejectedRecord>,
+}
+
+/// A record that can't be decoded.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
+pub(crate) struct RejectedRecord {
+    /// Its key.
+    pub key: Arc<str>,
+    /// Revision at which it was written.
+    pub revision: u64,
+    /// What is wrong with it.
+    pub problem: String,
 }
 
 /// Client with one connection to the store, which is opened on demand.
@@ -86,7 +99,7 @@
         &mut self,
         consistency: ReadConsistency,
     ) -> Result<ChangeSet, StoreError> {
-        let mut changes = Vec::new();
+        let mut items = Vec::new();
         let mut revision = None;
         let mut after = String::new();
         loop {
@@ -104,10 +117,9 @@
                 after.clone_from(&last.key);
             }
             let more = page.more_pages && !page.items.is_empty();
-            changes.extend(page.items.into_iter().filter_map(Item::into_change));
+            items.extend(page.items);
             if !more {
-                let revision = revision.unwrap_or_default();
-                return Ok(ChangeSet { changes, revision });
+                return Ok(ChangeSet::decode(items, revision.unwrap_or_default()));
             }
         }
     }
@@ -126,14 +138,7 @@
         let wait_ms = wait.as_millis();
         let path = format!("/api/kv-watch?prefix=&after={revision}&wait_ms={wait_ms}");
         let events: Events = self.get("watch", &path, wait + WATCH_MARGIN).await?;
-        Ok(ChangeSet {
-            changes: events
-                .events
-                .into_iter()
-                .filter_map(Item::into_change)
-                .collect(),
-            revision: events.store_revision,
-        })
+        Ok(ChangeSet::decode(events.events, events.store_revision))
     }
 
     /// Writes a record if its key is at `revision`; 0 requires that it does not exist.
@@ -258,34 +263,49 @@
     removed: bool,
 }
 
-impl Item {
-    /// Decodes the item; `None` for keys that entry instances don't use. An invalid record
-    /// counts as removed, so that an older value of it is not used any longer.
-    fn into_change(self) -> Option<Change> {
-        let record = if self.removed {
-            None
+impl ChangeSet {
+    /// Decodes items; keys that entry instances don't use are left out.
+    fn decode(items: Vec<Item>, revision: u64) -> Self {
+        let mut set = Self {
+            changes: Vec::with_capacity(items.len()),
+            revision,
+            rejected: Vec::new(),
+        };
+        for item in items {
+            set.add(item);
+        }
+        set
+    }
+
+    fn add(&mut self, item: Item) {
+        let decoded = if item.removed {
+            Ok(None)
         } else {
-            match self.decode() {
-                Ok(Some(record)) => Some(record),
-                Ok(None) => return None,
-                Err(problem) => {
-                    tracing::warn!(
-                        key = self.key,
-                        revision = self.rev,
-                        problem,
-                        "skipped an invalid record"
-                    );
-                    None
-                }
+            match item.decode() {
+                Ok(None) => return,
+                decoded => decoded,
             }
         };
-        Some(Change {
-            key: self.key.into(),
-            revision: self.rev,
-            record,
-        })
+        let key: Arc<str> = item.key.into();
+        let is_kept = decoded.is_err() && record::is_configuration(&key);
+        if let Err(problem) = &decoded {
+            self.rejected.push(RejectedRecord {
+                key: key.clone(),
+                revision: item.rev,
+                problem: problem.clone(),
+            });
+        }
+        if !is_kept {
+            self.changes.push(Change {
+                key,
+                revision: item.rev,
+                record: decoded.unwrap_or_default(),
+            });
+        }
     }
+}
 
+impl Item {
     fn decode(&self) -> Result<Option<crate::entry::model::Record>, String> {
         let value = self.value.as_deref().unwrap_or_default();
         let value = STANDARD.decode(value).map_err(|err| err.to_string())?;
--- a/src/platform/prepared/store/tests.rs
+++ b/src/platform/prepared/store/tests.rs
@@ -81,6 +81,18 @@
         .collect();
     assert_eq!(usable, ["servers/good"]);
     assert_eq!(keys(&set).len(), 2);
+    assert_eq!(set.rejected.len(), 1);
+    assert_eq!(&*set.rejected[0].key, "servers/bad");
+}
+
+#[tokio::test]
+async fn an_invalid_configuration_changes_nothing() {
+    let (store, mut client) = setup().await;
+    store.put("op/config", br#"{"version":"r7"}"#);
+    let set = client.watch(0, WAIT).await.unwrap();
+    assert!(set.changes.is_empty(), "{set:?}");
+    assert_eq!(set.rejected.len(), 1);
+    assert_eq!(set.revision, 1);
 }
 
 /// Results of a read and a write under each fault, and of a write after it.
