Check a target right before a request, and prove uploads over real sockets

Cause: a quarter of the targets run seven times slower in spells of half a second, and the reports that a choice uses are up to 0.3 s old, so about one request in fourteen started in a spell; requests that run at most once were also lost on connections and targets that were already gone.

Change: when the report of the chosen target is older than 20 ms, a health check goes over the request's own connection first, at most three for a request and within half the rate of health checks that a target may get. A slow or silent target is left for another before anything is sent (entry::precheck). An instance also fetches a newer configuration from a peer at the same revision, which an invalid record in the store hid from it.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -8,6 +8,7 @@
 use siphasher::sip::SipHasher13;
 
 use super::pool::TargetConn;
+use super::probe;
 use super::retry::AttemptOutcome;
 use super::selection::ChosenTarget;
 use super::shared::Shared;
@@ -134,22 +135,44 @@
     pub response: Option<Response>,
 }
 
+/// How an attempt is made.
+#[derive(Debug)]
+pub(crate) struct AttemptPlan {
+    /// Whether the request must not run more than once.
+    pub at_most_once: bool,
+    /// Identifies equal requests for the quarantine.
+    pub fingerprint: Fingerprint,
+    /// Path of the health check to send first; `None` to send the request at once.
+    pub check_path: Option<Arc<str>>,
+    /// Targets that the request does not go to instead.
+    pub tried: Vec<TargetId>,
+}
+
+/// Why an attempt has no response.
+#[derive(Debug, derive_more::From)]
+enum AttemptError {
+    /// The exchange failed.
+    Exchange(ExchangeError),
+    /// The target was checked, and the request was not sent.
+    #[from(ignore)]
+    Declined(String),
+}
+
 /// Sends a request to a target and records the result.
 pub(crate) async fn run(
     shared: Arc<Shared>,
     outbound: Arc<OutboundRequest>,
-    choice: ChosenTarget,
-    at_most_once: bool,
-    fingerprint: Fingerprint,
+    mut choice: ChosenTarget,
+    plan: AttemptPlan,
 ) -> CompletedAttempt {
     let in_flight = InFlightGuard {
         shared: &shared,
         run: choice.run,
     };
     let started = Instant::now();
-    let result = exchange(&shared, &outbound, &choice, at_most_once).await;
+    let result = exchange(&shared, &outbound, &mut choice, &plan).await;
     let (outcome, response) =
-        shared.record_result(&outbound, &choice, started, fingerprint, result);
+        shared.record_result(&outbound, &choice, started, plan.fingerprint, result);
     drop(in_flight);
     CompletedAttempt {
         choice,
@@ -175,14 +198,13 @@
 async fn exchange(
     shared: &Shared,
     outbound: &OutboundRequest,
-    choice: &ChosenTarget,
-    at_most_once: bool,
-) -> Result<Response, ExchangeError> {
-    let now = shared.now();
-    let mut conn = match shared.pool.take(now, &choice.id, at_most_once) {
-        Some(conn) => conn,
-        None => connect(shared, choice).await?,
-    };
+    choice: &mut ChosenTarget,
+    plan: &AttemptPlan,
+) -> Result<Response, AttemptError> {
+    let mut conn = acquire(shared, choice, plan.at_most_once).await?;
+    if let Some(path) = &plan.check_path {
+        conn = check(shared, choice, conn, path, plan).await?;
+    }
     let length = outbound.declared_length();
     let head = outbound.encode_head(&choice.id, length);
     let outgoing = OutgoingRequest {
@@ -207,6 +229,85 @@
     Ok(response)
 }
 
+async fn acquire(
+    shared: &Shared,
+    choice: &ChosenTarget,
+    at_most_once: bool,
+) -> Result<TargetConn, ExchangeError> {
+    let pooled = shared.pool.take(shared.now(), &choice.id, at_most_once);
+    match pooled {
+        Some(conn) => Ok(conn),
+        None => connect(shared, choice).await,
+    }
+}
+
+/// Sends a health check over the request's connection, and returns the connection if the
+/// request is to be sent to the target.
+async fn check(
+    shared: &Shared,
+    choice: &mut ChosenTarget,
+    mut conn: TargetConn,
+    path: &str,
+    plan: &AttemptPlan,
+) -> Result<TargetConn, AttemptError> {
+    let timeout = shared.state().tuning.precheck.timeout;
+    shared.metrics.prechecks.inc();
+    let checking = probe::check(&mut conn.conn, choice.address, path);
+    let response = match tokio::time::timeout(timeout, checking).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(err)) => {
+            // The connection was gone, which says little about the target.
+            let cause = err.to_string();
+            drop(conn);
+            shared.metrics.declined.inc();
+            return Err(AttemptError::Declined(cause));
+        }
+        Err(_) => {
+            let now = shared.now();
+            if let Some(view) = shared.state().targets.run_mut(choice.run) {
+                view.mark_down(now);
+            }
+            shared.metrics.declined.inc();
+            return Err(AttemptError::Declined("no response to the check".into()));
+        }
+    };
+    let now = shared.now();
+    let meta = wire::response_meta(response.status, &response.headers);
+    if meta
+        .target
+        .as_deref()
+        .is_some_and(|id| id != choice.id.as_str())
+    {
+        if let Some(view) = shared.state().targets.run_mut(choice.run) {
+            view.mark_down(now);
+        }
+        shared.metrics.declined.inc();
+        return Err(AttemptError::Declined(
+            "another target has the address".into(),
+        ));
+    }
+    let confirmed = {
+        let mut state = shared.state();
+        if let Some(view) = state.targets.run_mut(choice.run) {
+            view.record_response(now);
+            if let Some(load) = meta.load {
+                view.record_load_before(now, load, 1);
+            }
+            if let Some(left) = meta.cold_for {
+                view.set_cold_for(now, left);
+            }
+        }
+        state.confirm_choice(now, choice, &plan.tried)
+    };
+    if confirmed && conn.conn.is_reusable() {
+        return Ok(conn);
+    }
+    let cause = format!("the check reports {:?}", meta.load);
+    shared.pool.put(now, &choice.id, conn, meta.idle_for);
+    shared.metrics.declined.inc();
+    Err(AttemptError::Declined(cause))
+}
+
 async fn connect(shared: &Shared, choice: &ChosenTarget) -> Result<TargetConn, ExchangeError> {
     let (limit, token) = {
         let mut state = shared.state();
@@ -239,7 +340,7 @@
         choice: &ChosenTarget,
         started: Instant,
         fingerprint: Fingerprint,
-        result: Result<Response, ExchangeError>,
+        result: Result<Response, AttemptError>,
     ) -> (AttemptOutcome, Option<Response>) {
         let now = self.now();
         let (outcome, response, cause) = classify(&outbound.id, result);
@@ -257,7 +358,7 @@
         if let Some(view) = state.targets.run_mut(choice.run)
             && !matches!(
                 outcome,
-                AttemptOutcome::NotSent | AttemptOutcome::BodyFailed
+                AttemptOutcome::NotSent | AttemptOutcome::Declined | AttemptOutcome::BodyFailed
             )
         {
             view.record_outcome(now, outcome != AttemptOutcome::Answered);
@@ -304,17 +405,19 @@
 /// cause of a failure.
 fn classify(
     id: &str,
-    result: Result<Response, ExchangeError>,
+    result: Result<Response, AttemptError>,
 ) -> (AttemptOutcome, Option<Response>, String) {
     let response = match result {
         Ok(response) => response,
-        Err(err @ ExchangeError::NotSent(_)) => {
-            return (AttemptOutcome::NotSent, None, err.to_string());
-        }
-        Err(err @ ExchangeError::RequestBody(_)) => {
-            return (AttemptOutcome::BodyFailed, None, err.to_string());
+        Err(AttemptError::Declined(cause)) => return (AttemptOutcome::Declined, None, cause),
+        Err(AttemptError::Exchange(err)) => {
+            let outcome = match err {
+                ExchangeError::NotSent(_) => AttemptOutcome::NotSent,
+                ExchangeError::RequestBody(_) => AttemptOutcome::BodyFailed,
+                ExchangeError::Lost(_) | ExchangeError::Malformed(_) => AttemptOutcome::Lost,
+            };
+            return (outcome, None, err.to_string());
         }
-        Err(err) => return (AttemptOutcome::Lost, None, err.to_string()),
     };
     let meta = wire::response_meta(response.status, &response.headers);
     let cause = format!("status {}", response.status);
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -9,7 +9,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
-use super::attempt::{CompletedAttempt, OutboundRequest};
+use super::attempt::{AttemptPlan, CompletedAttempt, OutboundRequest};
 use super::hedge::{self, Progress};
 use super::model::{RetrySafety, Route};
 use super::outcome::{
@@ -200,6 +200,10 @@
                 biased;
                 Some(completed) = running.next() => {
                     self.history.record(completed.outcome);
+                    if completed.outcome == AttemptOutcome::Declined {
+                        // It may be selected again once its report is better.
+                        self.tried.retain(|id| *id != completed.choice.id);
+                    }
                     let next = retry::next(
                         completed.outcome,
                         self.admitted.route.retry_safety,
@@ -315,16 +319,22 @@
         &mut self,
         choice: ChosenTarget,
     ) -> Pin<Box<dyn Future<Output = CompletedAttempt> + Send + 'b>> {
+        let now = self.shared.now();
+        let service_time = self.service_time();
+        let checks = self.history.declined;
+        let check_path = self
+            .shared
+            .state()
+            .begin_check(now, &choice, service_time, checks);
+        let plan = AttemptPlan {
+            at_most_once: self.admitted.route.retry_safety == RetrySafety::Never,
+            fingerprint: self.fingerprint,
+            check_path,
+            tried: self.tried.clone(),
+        };
         self.tried.push(choice.id.clone());
         self.progress = Progress::default();
-        let at_most_once = self.admitted.route.retry_safety == RetrySafety::Never;
-        let attempt = super::attempt::run(
-            self.shared.clone(),
-            self.outbound.clone(),
-            choice,
-            at_most_once,
-            self.fingerprint,
-        );
+        let attempt = super::attempt::run(self.shared.clone(), self.outbound.clone(), choice, plan);
         Box::pin(attempt)
     }
 
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -29,6 +29,10 @@
     pub connects: IntCounter,
     /// Health checks sent to targets.
     pub probes: IntCounter,
+    /// Checks of a target right before a request.
+    pub prechecks: IntCounter,
+    /// Requests that went to another target after such a check.
+    pub declined: IntCounter,
     /// Records of the store that can't be decoded.
     pub rejected_records: IntCounter,
     /// Routes of the configuration in force whose kind is unknown.
@@ -78,6 +82,14 @@
             hedges: counter("entry_hedges_total", "Hedges sent beside a slow attempt.")?,
             connects: counter("entry_connects_total", "Connections opened to targets.")?,
             probes: counter("entry_probes_total", "Health checks sent to targets.")?,
+            prechecks: counter(
+                "entry_prechecks_total",
+                "Checks of a target before a request.",
+            )?,
+            declined: counter(
+                "entry_declined_total",
+                "Targets left for another after a check.",
+            )?,
             rejected_records: counter(
                 "entry_rejected_records_total",
                 "Invalid records of the store.",
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,6 +21,7 @@
 mod peers;
 pub(crate) mod placement;
 mod pool;
+pub(crate) mod precheck;
 mod probe;
 mod reload;
 pub(crate) mod replica;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -8,6 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
+use super::members::InstanceStatus;
 use super::message::{self, Datagram, MAX_DATAGRAM, MAX_FRAME, PeerRequest, PeerResponse};
 use super::probe::Prober;
 use super::replica::Delta;
@@ -148,19 +149,19 @@
     loop {
         tokio::time::sleep(interval / 2).await;
         let now = shared.now();
-        let Some((peer, same_zone)) = newest_peer(&shared, now, &failed) else {
+        let Some(source) = newest_peer(&shared, now, &failed) else {
             behind_since = None;
             failed.clear();
             continue;
         };
         let waited = now.since(*behind_since.get_or_insert(now));
         if waited < OTHER_ZONE_DELAY
-            && !(same_zone && waited >= interval / 2 && !shared.state().watches())
+            && !(source.same_zone && waited >= interval / 2 && !shared.state().watches())
         {
             continue;
         }
-        let revision = shared.state().replica.revision();
-        match fetch_changes(peer, revision).await {
+        let peer = source.address;
+        match fetch_changes(peer, source.from_revision).await {
             Ok(delta) => {
                 let now = shared.now();
                 shared.state().apply(now, delta, "peer");
@@ -175,21 +176,49 @@
     }
 }
 
-/// A live peer with newer changes, preferably in the same zone, and whether it is in
-/// the same zone. Peers in `failed` are a last resort.
-fn newest_peer(shared: &Shared, now: Time, failed: &[SocketAddr]) -> Option<(SocketAddr, bool)> {
+/// A peer to fetch changes from.
+struct ChangeSource {
+    address: SocketAddr,
+    /// Whether it is in this instance's zone.
+    same_zone: bool,
+    /// Revision after which changes are requested; 0 for everything.
+    from_revision: u64,
+}
+
+/// A live peer with newer changes or a newer configuration, preferably in the same zone.
+/// Peers in `failed` are a last resort.
+///
+/// A peer has a newer configuration at the same revision when the store holds an invalid
+/// one, so that an instance that has just started found none.
+fn newest_peer(shared: &Shared, now: Time, failed: &[SocketAddr]) -> Option<ChangeSource> {
     let state = shared.state();
-    let own = state.replica.content_revision();
+    let (revision, version) = (state.replica.content_revision(), state.status.version);
     let zone = &state.settings.zone;
-    state
+    let is_newer = |status: &InstanceStatus| status.revision > revision || status.version > version;
+    let (address, member) = state
         .members
         .live(now)
-        .filter(|(_, member)| member.status.revision > own)
+        .filter(|(_, member)| is_newer(&member.status))
         .max_by_key(|(address, member)| {
+            let status = &member.status;
             let same_zone = member.zone == *zone;
-            (!failed.contains(address), same_zone, member.status.revision)
-        })
-        .map(|(address, member)| (address, member.zone == *zone))
+            (
+                !failed.contains(address),
+                same_zone,
+                status.revision,
+                status.version,
+            )
+        })?;
+    let has_changes = member.status.revision > revision;
+    Some(ChangeSource {
+        address,
+        same_zone: member.zone == *zone,
+        from_revision: if has_changes {
+            state.replica.revision()
+        } else {
+            0
+        },
+    })
 }
 
 /// Fetches the changes after `revision` from a peer.
--- a/src/entry/probe.rs
+++ b/src/entry/probe.rs
@@ -8,7 +8,7 @@
 
 use super::message::{Health, TargetReport};
 use super::shared::Shared;
-use crate::http1::client::{Conn, OutgoingRequest, Response};
+use crate::http1::client::{Conn, ExchangeError, OutgoingRequest, Response};
 use crate::names::TargetId;
 use crate::platform::prepared::wire;
 use crate::units::Time;
@@ -88,7 +88,8 @@
     };
     shared.metrics.probes.inc();
     let conn = connections.take(id);
-    let result = tokio::time::timeout(timeout, check(conn, address, path, timeout)).await;
+    let result =
+        tokio::time::timeout(timeout, check_or_connect(conn, address, path, timeout)).await;
     let (response, conn) = match result {
         Ok(Ok((response, conn))) => (Some(response), Some(conn)),
         Ok(Err(_)) | Err(_) => (None, None),
@@ -107,16 +108,29 @@
     }
 }
 
-async fn check(
+async fn check_or_connect(
     conn: Option<Conn>,
     address: SocketAddr,
     path: &str,
     timeout: Duration,
-) -> Result<(Response, Conn), crate::http1::client::ExchangeError> {
+) -> Result<(Response, Conn), ExchangeError> {
     let mut conn = match conn {
         Some(conn) => conn,
         None => Conn::connect(address, timeout).await?,
     };
+    let response = check(&mut conn, address, path).await?;
+    Ok((response, conn))
+}
+
+/// Sends a health check over a connection.
+///
+/// # Errors
+/// No response arrived; the connection must then be dropped.
+pub(super) async fn check(
+    conn: &mut Conn,
+    address: SocketAddr,
+    path: &str,
+) -> Result<Response, ExchangeError> {
     let req = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\n\r\n");
     let outgoing = OutgoingRequest {
         bytes: req.as_bytes(),
@@ -124,8 +138,7 @@
         is_head: false,
         max_response_bytes: MAX_RESPONSE_BYTES,
     };
-    let response = conn.exchange(&outgoing, |_| true).await?;
-    Ok((response, conn))
+    conn.exchange(&outgoing, |_| true).await
 }
 
 fn target_report(key: u64, id: &TargetId, response: Option<&Response>) -> TargetReport {
--- a/src/entry/retry.rs
+++ b/src/entry/retry.rs
@@ -13,6 +13,8 @@
 pub enum AttemptOutcome {
     /// Nothing was sent.
     NotSent,
+    /// The target was checked first, and nothing was sent: it is slow or gone.
+    Declined,
     /// The target states that it did not run the request.
     NotRun,
     /// A complete response that reports success, which must be signed, or an error of the
@@ -31,6 +33,8 @@
 pub struct AttemptHistory {
     /// Attempts that sent nothing.
     pub unsent: u32,
+    /// Attempts that sent nothing after a check of the target.
+    pub declined: u32,
     /// Attempts that a target shed.
     pub shed: u32,
     /// Attempts that may have run.
@@ -42,6 +46,7 @@
     pub fn record(&mut self, outcome: AttemptOutcome) {
         match outcome {
             AttemptOutcome::NotSent => self.unsent += 1,
+            AttemptOutcome::Declined => self.declined += 1,
             AttemptOutcome::NotRun => self.shed += 1,
             AttemptOutcome::Answered
             | AttemptOutcome::TargetFailed
@@ -87,6 +92,8 @@
     match outcome {
         AttemptOutcome::Answered => NextStep::Deliver,
         AttemptOutcome::NotSent if history.unsent < MAX_UNSENT => NextStep::Retry,
+        // The number of checks for a request is limited.
+        AttemptOutcome::Declined => NextStep::Retry,
         AttemptOutcome::NotRun
             if history.shed + history.ran < max_attempts + EXTRA_SHED_ATTEMPTS =>
         {
@@ -106,6 +113,7 @@
         AttemptOutcome::Answered | AttemptOutcome::TargetFailed => NextStep::Deliver,
         _ if history.not_run() => NextStep::Refuse,
         AttemptOutcome::NotSent
+        | AttemptOutcome::Declined
         | AttemptOutcome::NotRun
         | AttemptOutcome::Lost
         | AttemptOutcome::BodyFailed => NextStep::Fail,
--- a/src/entry/selection.rs
+++ b/src/entry/selection.rs
@@ -1,11 +1,13 @@
 //! Selection of a target from the shared state.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
 
 use super::placement::{self, Candidate, Requirements};
+use super::precheck;
 use super::state::State;
 use super::targets::{TargetState, UnusableReason};
 use super::window::{MEMBER_DISCOVERY_TIME, cold_allowance};
@@ -107,6 +109,58 @@
         self.reserve(now, &id).ok_or(NoTarget::NoneUsable)
     }
 
+    /// Whether to check a chosen target before a request is sent to it, and the path of
+    /// the check; `checks` is the number of checks for the request so far.
+    pub(crate) fn begin_check(
+        &mut self,
+        now: Time,
+        choice: &ChosenTarget,
+        service_time: Duration,
+        checks: u32,
+    ) -> Option<Arc<str>> {
+        let settings = &self.tuning.precheck;
+        if !precheck::is_worthwhile(choice.report_age, service_time, checks, settings) {
+            return None;
+        }
+        let (window, max_rate) = (settings.window, self.settings.max_probe_rate);
+        let allowance = precheck::allowance(max_rate, self.instances(), settings);
+        let view = self.targets.run_mut(choice.run)?;
+        if view.checks.count(now, window) >= allowance {
+            return None;
+        }
+        view.checks.record(now);
+        let service = view.target.service.clone();
+        let configuration = self.replica.configuration()?;
+        Some(configuration.services.get(&service)?.health_path.clone())
+    }
+
+    /// Whether a request is sent to the chosen target, of which a report has just arrived.
+    /// `tried` are targets that the request does not go to.
+    pub(crate) fn confirm_choice(
+        &mut self,
+        now: Time,
+        choice: &mut ChosenTarget,
+        tried: &[TargetId],
+    ) -> bool {
+        let own_zone = self.settings.zone.clone();
+        let Some(view) = self.targets.run_mut(choice.run) else {
+            return false;
+        };
+        if view.is_cold(now) && !choice.candidate.cold {
+            return false;
+        }
+        let service = view.target.service.clone();
+        choice.candidate = Candidate {
+            occupied: view.occupied() - 1.0,
+            connected: true,
+            ..view.candidate(now, &own_zone)
+        };
+        choice.report_age = Some(Duration::ZERO);
+        let others = self.classify_targets(now, &service, tried).candidates;
+        let (placement, precheck) = (&self.tuning.placement, &self.tuning.precheck);
+        precheck::confirms(&choice.candidate, &others, placement, precheck)
+    }
+
     /// Classifies the targets of a service by whether they may take a request now.
     fn classify_targets(
         &mut self,
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -81,6 +81,8 @@
     pub connect_timeout: Duration,
     /// Weights of the cost function for targets.
     pub placement: super::placement::PlacementSettings,
+    /// When targets are checked right before a request.
+    pub precheck: super::precheck::PrecheckSettings,
 }
 
 impl Default for Tuning {
@@ -96,6 +98,7 @@
             probe_timeout: Duration::from_millis(250),
             connect_timeout: Duration::from_millis(250),
             placement: super::placement::PlacementSettings::default(),
+            precheck: super::precheck::PrecheckSettings::default(),
         }
     }
 }
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -64,6 +64,8 @@
     failure_rate: f64,
     failure_rate_at: Time,
     cold_requests: SlidingWindow,
+    /// Checks by this instance right before requests.
+    pub checks: SlidingWindow,
 }
 
 /// Why a target takes no request now.
@@ -97,6 +99,7 @@
             failure_rate: 0.0,
             failure_rate_at: now,
             cold_requests: SlidingWindow::default(),
+            checks: SlidingWindow::default(),
         }
     }
 
@@ -139,11 +142,17 @@
 
     /// Records a load report unless a newer one is known.
     pub fn record_load(&mut self, at: Time, load: Load) {
+        self.record_load_before(at, load, 0);
+    }
+
+    /// Like [`Self::record_load`], of a report from before `unsent` of the requests in
+    /// flight were sent.
+    pub fn record_load_before(&mut self, at: Time, load: Load, unsent: u32) {
         if self.load_report.is_none_or(|known| known.at <= at) {
             self.load_report = Some(LoadReport {
                 load,
                 at,
-                own_in_flight: self.in_flight,
+                own_in_flight: self.in_flight.saturating_sub(unsent),
             });
         }
     }
--- a/standin/src/prepared/settings.rs
+++ b/standin/src/prepared/settings.rs
@@ -28,16 +28,17 @@
 
 /// Returns a configuration with one service `s` and a route for each path prefix.
 ///
-/// Requests under `/once/` are not idempotent; all others are safe to retry.
+/// Requests under `/once/` are not idempotent, those under `/upload/` are uploads; all
+/// others are safe to retry.
 #[must_use]
 pub fn configuration(version: u64, prefixes: &[&str], timeout_ms: u64) -> String {
     let rows: Vec<serde_json::Value> = prefixes
         .iter()
         .map(|prefix| {
-            let kind = if *prefix == "/once/" {
-                "unsafe"
-            } else {
-                "safe"
+            let kind = match *prefix {
+                "/once/" => "unsafe",
+                "/upload/" => "upload",
+                _ => "safe",
             };
             serde_json::json!([
                 prefix,
--- a/standin/src/prepared/target.rs
+++ b/standin/src/prepared/target.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use serde_json::json;
@@ -28,6 +29,10 @@
     Hanging,
     /// Runs the request and responds without the signature that proves it.
     Unproven,
+    /// Responds with status 500 before it has read the body.
+    Early,
+    /// Closes the connection once some of the body has arrived.
+    BreakingOff,
 }
 
 /// Behaviour and reported state of a target; tests change them.
@@ -41,6 +46,8 @@
     pub slowness_percent: u32,
     /// Whether its health check succeeds.
     pub healthy: bool,
+    /// Pause after each part of a body that is read.
+    pub read_pause: Duration,
 }
 
 /// Counts of the requests that a target received, by their identifiers.
@@ -56,6 +63,8 @@
     pub last_deadline_ms: u64,
     /// Number of health checks.
     pub probes: u32,
+    /// Number of requests whose body did not arrive whole.
+    pub broken_bodies: u32,
 }
 
 /// A running target; it stops when it is dropped.
@@ -132,10 +141,19 @@
             work: Duration::from_millis(2),
             slowness_percent: 100,
             healthy: true,
+            read_pause: Duration::ZERO,
         }
     }
 }
 
+/// Checksum of a body that depends on the order of its bytes.
+#[must_use]
+pub fn checksum(body: &[u8]) -> u64 {
+    body.iter().fold(body.len() as u64, |sum, byte| {
+        sum.wrapping_mul(1_000_003).wrapping_add(u64::from(*byte))
+    })
+}
+
 async fn handle(cx: &TargetContext, req: Request<Incoming>) -> Option<Response<Body>> {
     let state = cx.state.get();
     let load = format!("0,0,6,{}", state.slowness_percent);
@@ -158,27 +176,69 @@
     if state.behaviour == Behaviour::Shedding {
         return Some(response(503, &[("x-not-executed", "1")], String::new()));
     }
+    let (method, path) = (req.method().clone(), req.uri().path().to_owned());
     cx.record
         .change(|record| *record.runs.entry(id.clone()).or_default() += 1);
-    let (method, path) = (req.method().clone(), req.uri().path().to_owned());
-    let body = web::read_body(req.into_body()).await;
+    if state.behaviour == Behaviour::Early {
+        let proof = [("x-request-id", &*id), ("x-server-signature", "proof")];
+        return Some(response(500, &proof, String::new()));
+    }
+    let mut guard = BodyGuard {
+        record: cx.record.clone(),
+        is_whole: false,
+    };
+    let body = read_body(req.into_body(), &state).await?;
+    guard.is_whole = true;
+    drop(guard);
     tokio::time::sleep(state.work).await;
     cx.record.change(|record| record.finished += 1);
+    let sum = checksum(&body).to_string();
     let proof = [
         ("x-request-id", &*id),
         ("x-server-signature", "proof"),
         ("x-server-load", &load),
+        ("x-body-checksum", &sum),
     ];
     let text = format!("{} ran {method} {path} with {}", cx.id, body.len());
     match state.behaviour {
         Behaviour::Serving | Behaviour::Shedding => Some(response(200, &proof, text)),
-        Behaviour::Failing => Some(response(500, &proof, String::new())),
+        Behaviour::Failing | Behaviour::Early => Some(response(500, &proof, String::new())),
         Behaviour::Unproven => Some(response(200, &proof[..1], text)),
-        Behaviour::Losing => None,
+        Behaviour::Losing | Behaviour::BreakingOff => None,
         Behaviour::Hanging => std::future::pending().await,
     }
 }
 
+/// Counts a body that is dropped before it was read whole.
+struct BodyGuard {
+    record: Shared<Record>,
+    is_whole: bool,
+}
+
+impl Drop for BodyGuard {
+    fn drop(&mut self) {
+        if !self.is_whole {
+            self.record.change(|record| record.broken_bodies += 1);
+        }
+    }
+}
+
+/// Reads a body part by part; `None` if it does not arrive whole or the connection is to
+/// be closed.
+async fn read_body(mut body: Incoming, state: &State) -> Option<Vec<u8>> {
+    let mut read = Vec::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.ok()?.into_data() {
+            read.extend_from_slice(&data);
+        }
+        if state.behaviour == Behaviour::BreakingOff {
+            return None;
+        }
+        tokio::time::sleep(state.read_pause).await;
+    }
+    Some(read)
+}
+
 fn header_value(headers: &HeaderMap, name: &str) -> String {
     headers
         .get(name)
--- a/tests/entry_cluster/mod.rs
+++ b/tests/entry_cluster/mod.rs
@@ -255,6 +255,63 @@
         }
     }
 
+    /// Opens a connection to an instance, for requests whose bytes are sent one by one.
+    pub async fn connect(&self, instance: usize) -> RawConn {
+        let address = SocketAddr::new(self.instances[instance].ip, CALLER_PORT);
+        RawConn {
+            stream: TcpStream::connect(address).await.unwrap(),
+            buf: Vec::new(),
+        }
+    }
+
+    /// How often a request arrived at any target, whether it was run or not.
+    pub fn arrivals(&self, id: &str) -> u32 {
+        let records = self.targets.iter().map(|target| target.record.get());
+        let counts = records.map(|record| record.arrivals.get(id).copied().unwrap_or(0));
+        counts.sum()
+    }
+
+    pub async fn wait_until_arrived(&self, id: &str) {
+        self.wait_until(|| async { Some(self.arrivals(id)) }, |count| *count > 0)
+            .await;
+    }
+
+    /// Waits until this many bodies broke off at the targets.
+    pub async fn wait_for_broken_bodies(&self, count: u32) {
+        let broken = || async {
+            let records = self.targets.iter().map(|target| target.record.get());
+            Some(records.map(|record| record.broken_bodies).sum::<u32>())
+        };
+        self.wait_until(broken, |known| *known == count).await;
+    }
+
+    /// Sets the behaviour of one target.
+    pub fn set_target_behaviour(&self, target: usize, behaviour: Behaviour) {
+        self.targets[target]
+            .state
+            .change(|state| state.behaviour = behaviour);
+    }
+
+    /// Sets how long the targets pause after each part of a body.
+    pub fn set_read_pause(&self, pause: Duration) {
+        for target in &self.targets {
+            target.state.change(|state| state.read_pause = pause);
+        }
+    }
+
+    pub async fn metric(&self, instance: usize, name: &str) -> Option<f64> {
+        let address = SocketAddr::new(self.instances[instance].ip, METRICS_PORT);
+        let req = "GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n".to_owned();
+        let body = exchange(address, req).await?.body;
+        let mut lines = body.lines().filter_map(|line| line.split_once(' '));
+        let (_, value) = lines.find(|(known, _)| *known == name)?;
+        value.parse().ok()
+    }
+
+    pub async fn dump_field(&self, instance: usize, field: &str) -> Value {
+        self.dump(instance).await.unwrap()[field].clone()
+    }
+
     pub async fn readiness(&self, instance: usize) -> u16 {
         let address = SocketAddr::new(self.instances[instance].ip, READINESS_PORT);
         let req = "GET /api/readiness HTTP/1.1\r\nhost: x\r\n\r\n".to_owned();
@@ -364,6 +421,46 @@
     }
 }
 
+/// A connection to an instance whose bytes a test sends one by one.
+pub struct RawConn {
+    stream: TcpStream,
+    buf: Vec<u8>,
+}
+
+impl RawConn {
+    pub async fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).await.unwrap();
+    }
+
+    /// Sends the head of an upload; its body is chunked without a `length`.
+    pub async fn send_upload_head(&mut self, id: &str, length: Option<usize>) {
+        let framing = length.map_or("transfer-encoding: chunked".to_owned(), |length| {
+            format!("content-length: {length}")
+        });
+        let head = format!(
+            "POST /upload/x HTTP/1.1\r\nhost: x.example\r\nx-request-id: {id}\r\n\
+             x-deadline-ms: 2000\r\n{framing}\r\n\r\n"
+        );
+        self.send(head.as_bytes()).await;
+    }
+
+    /// Reads the next response.
+    pub async fn response(&mut self) -> HttpResponse {
+        let reading = async {
+            loop {
+                if let Some(resp) = parse(&self.buf) {
+                    let head = self.buf.windows(4).position(|end| end == b"\r\n\r\n");
+                    self.buf.drain(..head.unwrap() + 4 + resp.body.len());
+                    return resp;
+                }
+                let count = self.stream.read_buf(&mut self.buf).await.unwrap();
+                assert!(count > 0, "closed after {:?}", self.buf);
+            }
+        };
+        tokio::time::timeout(WAIT_LIMIT, reading).await.unwrap()
+    }
+}
+
 /// Sends a request on a new connection and reads the response.
 async fn exchange(address: SocketAddr, req: String) -> Option<HttpResponse> {
     let mut stream = TcpStream::connect(address).await.ok()?;
