Relay heartbeats between zones through a few instances of each zone

Cause: in a large membership every instance sent a heartbeat to every other one each second.

Change: an instance sends to two instances of each other zone in turn, and instances relay to their own zone what reached them, with its age. Nothing is relayed twice, so no view keeps a dead run alive. The statuses follow the heartbeat in its datagram, where earlier releases ignore them.

--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use siphasher::sip::SipHasher13;
 
-use super::message::Heartbeat;
+use super::message::{Heartbeat, MAX_RELAYED, RelayedStatus};
 use super::model::Target;
 use super::placement::index_for_draw;
 use super::watchers::{StoreAccess, Watcher};
@@ -26,6 +26,13 @@
 /// three times either.
 const LARGE_SAME_ZONE_INTERVAL: Duration = Duration::from_millis(300);
 const LARGE_OTHER_ZONE_INTERVAL: Duration = Duration::from_secs(1);
+/// Instances of each other zone that get a heartbeat in that interval in a large
+/// membership, in turn; they relay it in their zone. With two, the loss of a datagram
+/// rarely delays what a zone knows of an instance.
+const RELAYS_PER_ZONE: usize = 2;
+/// Time for which a status of an instance in another zone is relayed: two heartbeats in
+/// the own zone.
+const RELAY_WINDOW: Duration = Duration::from_millis(650);
 /// Silence after which a peer counts as gone in a large membership.
 const LARGE_SILENCE_TIMEOUT: Duration = Duration::from_millis(3200);
 /// Silence after which an instance's registration is removed from the store. Regions
@@ -41,8 +48,10 @@
     pub zone: ZoneName,
     /// When its address was first learned.
     pub known_since: Time,
-    /// When its last heartbeat arrived; `None` before the first.
+    /// When its last heartbeat arrived here or at a relay; `None` before the first.
     pub last_heartbeat: Option<Time>,
+    /// When its last heartbeat arrived here.
+    pub last_direct: Option<Time>,
     /// When a heartbeat was last sent to it; `None` before the first.
     pub last_sent: Option<Time>,
     /// Status in its last heartbeat.
@@ -108,6 +117,7 @@
             zone: zone.clone(),
             known_since: now,
             last_heartbeat: None,
+            last_direct: None,
             last_sent: None,
             status: InstanceStatus::default(),
         });
@@ -128,11 +138,57 @@
         if let Some(member) = self.by_address.get_mut(&address) {
             member.zone = heartbeat.zone.clone();
             member.last_heartbeat = Some(now);
+            member.last_direct = Some(now);
             member.status = heartbeat.status.clone();
         }
         !was_live
     }
 
+    /// Records a status that a peer in the own zone relays, unless a newer one is known.
+    pub fn record_relayed(&mut self, now: Time, relayed: &RelayedStatus) {
+        if relayed.address == self.own {
+            return;
+        }
+        let at = now.before(Duration::from_millis(relayed.age_ms.into()));
+        self.add(now, relayed.address, &relayed.zone);
+        if let Some(member) = self.by_address.get_mut(&relayed.address)
+            && member.last_heartbeat.is_none_or(|known| known < at)
+        {
+            member.zone = relayed.zone.clone();
+            member.last_heartbeat = Some(at);
+            member.status = relayed.status.clone();
+        }
+    }
+
+    /// The statuses of other zones' instances to relay in the own `zone`: those that
+    /// arrived here last. None in a small membership, where every instance gets every
+    /// heartbeat.
+    #[must_use]
+    pub fn statuses_to_relay(&self, now: Time, zone: &ZoneName) -> Vec<RelayedStatus> {
+        if !self.is_large() {
+            return Vec::new();
+        }
+        let mut recent: Vec<(Duration, SocketAddr, &Member)> = self
+            .by_address
+            .iter()
+            .filter(|(_, member)| member.zone != *zone)
+            .filter_map(|(address, member)| {
+                Some((now.since(member.last_direct?), *address, member))
+            })
+            .filter(|(age, ..)| *age <= RELAY_WINDOW)
+            .collect();
+        recent.sort_by_key(|(age, address, _)| (*age, *address));
+        let relayed = recent.into_iter().take(MAX_RELAYED);
+        relayed
+            .map(|(age, address, member)| RelayedStatus {
+                address,
+                zone: member.zone.clone(),
+                status: member.status.clone(),
+                age_ms: u16::try_from(age.as_millis()).unwrap_or(u16::MAX),
+            })
+            .collect()
+    }
+
     /// Removes instances that have been silent for `remove_after`, unless they are
     /// registered in the store.
     pub fn remove_silent(&mut self, now: Time, is_registered: impl Fn(&SocketAddr) -> bool) {
@@ -167,7 +223,8 @@
     }
 
     /// Returns the instances in `zone` and those in other zones that are due a
-    /// heartbeat, and records it as sent; see [`heartbeat_interval`].
+    /// heartbeat, and records it as sent; see [`heartbeat_interval`]. In a large
+    /// membership only a few in each other zone are, which relay it there.
     pub fn due_heartbeats(
         &mut self,
         now: Time,
@@ -177,7 +234,14 @@
         let (mut same_zone, mut other_zones) = (Vec::new(), Vec::new());
         let count = self.by_address.len();
         let silence_timeout = self.silence_timeout();
+        let is_relayed = self.is_large() && !updates.all;
+        if is_relayed {
+            other_zones = self.due_relays(now, zone);
+        }
         for (address, member) in &mut self.by_address {
+            if is_relayed && member.zone != *zone {
+                continue;
+            }
             let live = member
                 .last_heartbeat
                 .is_some_and(|at| now.since(at) < silence_timeout);
@@ -210,6 +274,42 @@
         (same_zone, other_zones)
     }
 
+    /// Picks instances in each other zone that relay the next heartbeat there, and records
+    /// it as sent to them: those that were sent one longest ago. The order of the others
+    /// differs between senders.
+    fn due_relays(&mut self, now: Time, own_zone: &ZoneName) -> Vec<SocketAddr> {
+        let own = self.own;
+        let mut zones: IndexMap<ZoneName, Vec<(Option<Time>, u64, SocketAddr)>> = IndexMap::new();
+        for (address, member) in &self.by_address {
+            if member.zone != *own_zone {
+                let order = (member.last_sent, hash(&(own, *address)), *address);
+                zones.entry(member.zone.clone()).or_default().push(order);
+            }
+        }
+        let mut due = Vec::new();
+        for instances in zones.values_mut() {
+            instances.sort_unstable();
+            let last = instances
+                .iter()
+                .filter_map(|(last_sent, ..)| *last_sent)
+                .max();
+            if last.is_none_or(|at| now.since(at) >= LARGE_OTHER_ZONE_INTERVAL) {
+                due.extend(
+                    instances
+                        .iter()
+                        .take(RELAYS_PER_ZONE)
+                        .map(|(.., address)| *address),
+                );
+            }
+        }
+        for address in &due {
+            if let Some(member) = self.by_address.get_mut(address) {
+                member.last_sent = Some(now);
+            }
+        }
+        due
+    }
+
     /// Whether this instance, in `own_zone`, is the prober of a target, according to
     /// its own view. Rendezvous hashing picks it among the live instances; those in the
     /// target's zone come first.
@@ -314,20 +414,15 @@
 /// Minimum time between two heartbeats to a live instance, among `count` others.
 ///
 /// A target's slowness matters most to the instances in its zone, which send it most of
-/// its requests. In a large membership, instances in other zones get changes with the
-/// next regular heartbeat only.
+/// its requests. In a large membership, this is the interval in the own zone alone.
 fn heartbeat_interval(count: usize, is_same_zone: bool, has_updates: bool) -> Duration {
-    let is_large = count >= LARGE_MEMBERSHIP;
-    let regular = match (is_large, is_same_zone) {
+    if has_updates {
+        return Duration::ZERO;
+    }
+    match (count >= LARGE_MEMBERSHIP, is_same_zone) {
         (false, true) => Duration::ZERO,
         (false, false) => OTHER_ZONE_INTERVAL,
-        (true, true) => LARGE_SAME_ZONE_INTERVAL,
-        (true, false) => LARGE_OTHER_ZONE_INTERVAL,
-    };
-    if has_updates && (is_same_zone || !is_large) {
-        Duration::ZERO
-    } else {
-        regular
+        (true, _) => LARGE_SAME_ZONE_INTERVAL,
     }
 }
 
--- a/src/entry/message.rs
+++ b/src/entry/message.rs
@@ -17,6 +17,8 @@
 pub const MAX_DATAGRAM: usize = 1400;
 /// Maximum reports in a heartbeat, so that it fits [`MAX_DATAGRAM`].
 pub const MAX_REPORTS: usize = 40;
+/// Maximum statuses of other zones' instances in a heartbeat.
+pub const MAX_RELAYED: usize = 8;
 /// Maximum quarantine cases in a heartbeat.
 pub const MAX_CASES: usize = 8;
 /// Maximum frame size over TCP: a full configuration and all targets.
@@ -86,6 +88,19 @@
     pub cases: Vec<Case>,
 }
 
+/// Status of an instance in another zone, as told in the zone of the receiver.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RelayedStatus {
+    /// Address of the instance for its peers.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Status in its last heartbeat to the sender.
+    pub status: InstanceStatus,
+    /// Milliseconds since that heartbeat arrived.
+    pub age_ms: u16,
+}
+
 /// Content of a datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -111,6 +126,36 @@
     Changes(Delta),
 }
 
+/// Encodes a heartbeat to a peer in the same zone. The statuses follow it, where earlier
+/// releases ignore them.
+///
+/// # Errors
+/// Never for the types here; otherwise the codec's error.
+pub fn encode_with_relayed(
+    heartbeat: &Datagram,
+    relayed: &[RelayedStatus],
+) -> Result<Vec<u8>, postcard::Error> {
+    let mut bytes = encode(heartbeat)?;
+    if !relayed.is_empty() {
+        bytes.extend(postcard::to_stdvec(relayed)?);
+    }
+    Ok(bytes)
+}
+
+/// Decodes a datagram, and the statuses that follow a heartbeat.
+///
+/// # Errors
+/// The bytes are not a valid datagram.
+pub fn decode_datagram(bytes: &[u8]) -> Result<(Datagram, Vec<RelayedStatus>), postcard::Error> {
+    let (datagram, rest) = postcard::take_from_bytes(bytes)?;
+    let relayed = if rest.is_empty() {
+        Vec::new()
+    } else {
+        postcard::from_bytes(rest)?
+    };
+    Ok((datagram, relayed))
+}
+
 /// Encodes a message.
 ///
 /// # Errors
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -33,6 +33,8 @@
     pub prechecks: IntCounter,
     /// Requests that went to another target after such a check.
     pub declined: IntCounter,
+    /// Bytes of datagrams sent to other instances, without their headers.
+    pub peer_bytes: IntCounter,
     /// Records of the store that can't be decoded.
     pub rejected_records: IntCounter,
     /// Routes of the configuration in force whose kind is unknown.
@@ -90,6 +92,7 @@
                 "entry_declined_total",
                 "Targets left for another after a check.",
             )?,
+            peer_bytes: counter("entry_peer_bytes_total", "Bytes of datagrams to peers.")?,
             rejected_records: counter(
                 "entry_rejected_records_total",
                 "Invalid records of the store.",
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -55,25 +55,46 @@
 /// a significant change; see [`super::state::State::next_heartbeat`].
 pub(crate) fn send_heartbeats(shared: &Shared, socket: &UdpSocket, all: bool) {
     let now = shared.now();
-    let (heartbeat, peers) = shared.state().next_heartbeat(now, all);
-    send(socket, &Datagram::Heartbeat(heartbeat), &peers);
+    let due = shared.state().next_heartbeat(now, all);
+    let heartbeat = Datagram::Heartbeat(due.heartbeat);
+    if !due.same_zone.is_empty() {
+        let encoded = message::encode_with_relayed(&heartbeat, &due.relayed);
+        send_encoded(shared, socket, encoded, &due.same_zone);
+    }
+    if !due.other_zones.is_empty() {
+        let encoded = message::encode(&heartbeat);
+        send_encoded(shared, socket, encoded, &due.other_zones);
+    }
 }
 
 /// Requests digests from peers in zones whose targets this instance needs.
 fn request_digests(shared: &Shared, socket: &UdpSocket) {
     let now = shared.now();
     let peers = shared.state().digest_peers(now, rand::rng().random());
-    send(socket, &Datagram::DigestRequest, &peers);
+    send(shared, socket, &Datagram::DigestRequest, &peers);
+}
+
+fn send(shared: &Shared, socket: &UdpSocket, datagram: &Datagram, peers: &[SocketAddr]) {
+    if !peers.is_empty() {
+        send_encoded(shared, socket, message::encode(datagram), peers);
+    }
 }
 
-fn send(socket: &UdpSocket, datagram: &Datagram, peers: &[SocketAddr]) {
-    let bytes = match message::encode(datagram) {
+fn send_encoded(
+    shared: &Shared,
+    socket: &UdpSocket,
+    encoded: Result<Vec<u8>, postcard::Error>,
+    peers: &[SocketAddr],
+) {
+    let bytes = match encoded {
         Ok(bytes) => bytes,
         Err(err) => {
             tracing::warn!(%err, "cannot encode a datagram");
             return;
         }
     };
+    let total = u64::try_from(bytes.len() * peers.len()).unwrap_or(u64::MAX);
+    shared.metrics.peer_bytes.inc_by(total);
     for peer in peers {
         // A full socket buffer or an unreachable peer only loses this datagram.
         if let Err(err) = socket.try_send_to(&bytes, *peer) {
@@ -93,8 +114,11 @@
                 continue;
             }
         };
-        match message::decode(&buf[..length]) {
-            Ok(datagram) => handle_datagram(&shared, &socket, from, datagram),
+        match message::decode_datagram(&buf[..length]) {
+            Ok((datagram, relayed)) => {
+                handle_datagram(&shared, &socket, from, datagram);
+                shared.state().receive_relayed(shared.now(), &relayed);
+            }
             Err(err) => tracing::debug!(%from, %err, "received an invalid datagram"),
         }
     }
@@ -110,7 +134,7 @@
             let parts = state.digest(now);
             drop(state);
             for part in parts {
-                send(socket, &Datagram::Digest(part), &[from]);
+                send(shared, socket, &Datagram::Digest(part), &[from]);
             }
         }
     }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -12,7 +12,7 @@
 
 use super::directory::{self, DirectoryEntry};
 use super::members::{InstanceStatus, Members, PendingUpdates};
-use super::message::{Health, Heartbeat, MAX_CASES, MAX_REPORTS, TargetReport};
+use super::message::{Health, Heartbeat, MAX_CASES, MAX_REPORTS, RelayedStatus, TargetReport};
 use super::model::{CallerLimits, Record, Route};
 use super::replica::{Applied, Delta, Replica};
 use super::routes::{RouteTable, WeightedSplitter};
@@ -46,6 +46,19 @@
 /// Maximum age of this instance's own probe results in a heartbeat.
 const OWN_REPORT_AGE: Duration = Duration::from_millis(500);
 
+/// A heartbeat and the peers to send it to.
+#[derive(Debug)]
+pub(crate) struct DueHeartbeat {
+    /// The heartbeat.
+    pub heartbeat: Heartbeat,
+    /// Statuses of other zones' instances, for the peers in the same zone only.
+    pub relayed: Vec<RelayedStatus>,
+    /// Peers in the same zone.
+    pub same_zone: Vec<SocketAddr>,
+    /// Peers in other zones.
+    pub other_zones: Vec<SocketAddr>,
+}
+
 /// Result of an own probe.
 #[derive(Debug, Clone, Copy)]
 struct OwnReport {
@@ -373,7 +386,7 @@
 
     /// The next heartbeat and the peers to send it to. With `all`, these are all live
     /// peers; see [`Members::due_heartbeats`].
-    pub(crate) fn next_heartbeat(&mut self, now: Time, all: bool) -> (Heartbeat, Vec<SocketAddr>) {
+    pub(crate) fn next_heartbeat(&mut self, now: Time, all: bool) -> DueHeartbeat {
         self.reports
             .retain(|_, own| now.since(own.at) < OWN_REPORT_AGE);
         self.sent_same_zone
@@ -413,7 +426,12 @@
             member: self.member_to_share(now),
             cases: self.quarantine.cases(now).take(MAX_CASES).collect(),
         };
-        (heartbeat, [same_zone, other_zones].concat())
+        DueHeartbeat {
+            relayed: self.members.statuses_to_relay(now, &heartbeat.zone),
+            heartbeat,
+            same_zone,
+            other_zones,
+        }
     }
 
     /// The targets whose reports the next heartbeat contains: first those that changed,
@@ -471,6 +489,13 @@
         }
     }
 
+    /// Applies statuses that a peer in the same zone relays.
+    pub(crate) fn receive_relayed(&mut self, now: Time, relayed: &[RelayedStatus]) {
+        for status in relayed {
+            self.members.record_relayed(now, status);
+        }
+    }
+
     /// Removes expired entries; returns the targets that were removed.
     pub(crate) fn remove_expired(&mut self, now: Time) -> Vec<TargetId> {
         let registered = &self.registered;
