Mend the faults of serve and of the soak's checker that were found by reading

Cause: the failure of a hedged call named the first attempt's target, whatever target failed so, and a later retry could pick the hedge's target again; a written configuration whose documents were missing here was reported as not written; a release of a claim was logged when its comparison had failed; another error during an outage of the store was hidden at debug; a watch that could not be opened had an empty error; peers on 0.0.0.0 without advertise were accepted and published. In the soak the end of a fault also ended a later one on the same part, and a caller that could not connect left no record.

The soak also sends uploads of up to 300 KB and checks their bytes by a checksum of the target.

Result: tests for the hedge's failure, the accepted change, the settings and the overlapping faults fail without the change. The two log lines have no test: they change no outcome.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, SeedableRng};
 use standin::faults::Shared;
 use standin::prepared::settings::{CALLER_PORT, DIRECTORY_PORT};
+use standin::prepared::target::checksum;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -22,6 +23,10 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Upper bound of the pause between two calls of one caller.
 const MAX_PAUSE: Duration = Duration::from_millis(40);
+/// Upper bound of the size of an upload.
+const MAX_UPLOAD_BYTES: usize = 300_000;
+/// Bytes of an upload that are written at once.
+const UPLOAD_PIECE_BYTES: usize = 20_000;
 /// Mean number of calls on one connection before a new one is opened.
 const MEAN_CALLS_PER_CONNECTION: u32 = 30;
 
@@ -49,24 +54,26 @@
         if rng.random_ratio(1, MEAN_CALLS_PER_CONNECTION) {
             open = None;
         }
-        let at_most_once = rng.random_bool(0.5);
+        let kind = CallKind::draw(&mut rng);
         let id = format!("{index}-{count}");
         let sent = cx.start.elapsed();
         let connected = match open.take() {
-            Some(open) => Some(open),
+            Some(open) => Ok(open),
             None => connect(&cx, &mut rng).await,
         };
-        let Some((instance, mut stream)) = connected else {
-            tokio::time::sleep(MAX_PAUSE).await;
-            continue;
+        let (instance, outcome) = match connected {
+            Ok((instance, mut stream)) => {
+                let (outcome, keep) = exchange(&mut stream, &id, kind, &mut rng).await;
+                if keep {
+                    open = Some((instance, stream));
+                }
+                (instance, outcome)
+            }
+            Err(instance) => (instance, CallOutcome::NotConnected),
         };
-        let (outcome, keep) = exchange(&mut stream, &id, at_most_once).await;
-        if keep {
-            open = Some((instance, stream));
-        }
         let call = Call {
             id,
-            at_most_once,
+            at_most_once: kind != CallKind::Safe,
             instance,
             sent,
             ended: cx.start.elapsed(),
@@ -78,13 +85,21 @@
 }
 
 /// Queries the directory of a random instance and connects to one of the addresses in it.
-async fn connect(cx: &CallerContext, rng: &mut StdRng) -> Option<(IpAddr, TcpStream)> {
+///
+/// # Errors
+/// The instance that could not be reached.
+async fn connect(cx: &CallerContext, rng: &mut StdRng) -> Result<(IpAddr, TcpStream), IpAddr> {
     let directory = cx.instances[rng.random_range(0..cx.instances.len())];
-    let addresses = addresses(SocketAddr::new(directory, DIRECTORY_PORT)).await?;
-    let address = *addresses.get(rng.random_range(0..addresses.len().max(1)))?;
+    let addresses = addresses(SocketAddr::new(directory, DIRECTORY_PORT)).await;
+    let addresses = addresses.ok_or(directory)?;
+    let index = rng.random_range(0..addresses.len().max(1));
+    let address = *addresses.get(index).ok_or(directory)?;
     debug_assert_eq!(address.port(), CALLER_PORT);
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    Some((address.ip(), connecting.await.ok()?.ok()?))
+    match connecting.await {
+        Ok(Ok(stream)) => Ok((address.ip(), stream)),
+        Ok(Err(_)) | Err(_) => Err(address.ip()),
+    }
 }
 
 async fn addresses(directory: SocketAddr) -> Option<Vec<SocketAddr>> {
@@ -114,15 +129,63 @@
     Some(response.body)
 }
 
+/// Kind of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallKind {
+    Safe,
+    Once,
+    Upload,
+}
+
+impl CallKind {
+    fn draw(rng: &mut StdRng) -> Self {
+        match rng.random_range(0..6) {
+            0..=2 => Self::Safe,
+            3 | 4 => Self::Once,
+            _ => Self::Upload,
+        }
+    }
+
+    fn path(self) -> &'static str {
+        match self {
+            Self::Safe => "safe",
+            Self::Once => "once",
+            Self::Upload => "upload",
+        }
+    }
+}
+
 /// Sends one call; returns its outcome and whether the connection can be reused.
-async fn exchange(stream: &mut TcpStream, id: &str, at_most_once: bool) -> (CallOutcome, bool) {
-    let path = if at_most_once { "once" } else { "safe" };
-    let deadline = DEADLINE.as_millis();
-    let req = format!(
-        "GET /{path}/{id}/ HTTP/1.1\r\nhost: x.example\r\nx-request-id: {id}\r\n\
-         x-deadline-ms: {deadline}\r\n\r\n"
+async fn exchange(
+    stream: &mut TcpStream,
+    id: &str,
+    kind: CallKind,
+    rng: &mut StdRng,
+) -> (CallOutcome, bool) {
+    let (path, deadline) = (kind.path(), DEADLINE.as_millis());
+    let mut body = Vec::new();
+    if kind == CallKind::Upload {
+        body.resize(rng.random_range(1..MAX_UPLOAD_BYTES), 0);
+        rng.fill(&mut body[..]);
+    }
+    let method = if body.is_empty() { "GET" } else { "POST" };
+    let head = format!(
+        "{method} /{path}/{id}/ HTTP/1.1\r\nhost: x.example\r\nx-request-id: {id}\r\n\
+         x-deadline-ms: {deadline}\r\ncontent-length: {}\r\n\r\n",
+        body.len()
     );
-    if stream.write_all(req.as_bytes()).await.is_err() {
+    let sending = async {
+        stream.write_all(head.as_bytes()).await?;
+        for piece in body.chunks(UPLOAD_PIECE_BYTES) {
+            stream.write_all(piece).await?;
+            tokio::task::yield_now().await;
+        }
+        Ok::<_, std::io::Error>(())
+    };
+    if !matches!(
+        tokio::time::timeout(RESPONSE_TIMEOUT, sending).await,
+        Ok(Ok(()))
+    ) {
         return (CallOutcome::ConnectionLost, false);
     }
     match tokio::time::timeout(RESPONSE_TIMEOUT, read_response(stream)).await {
@@ -130,7 +193,7 @@
         Ok(None) => (CallOutcome::ConnectionLost, false),
         Ok(Some(response)) => {
             let keep = !response.closes_connection;
-            let matches_request = response.matches(id, path);
+            let matches_request = response.matches(id, path, &body);
             let status = response.status;
             (
                 CallOutcome::Responded {
@@ -159,6 +222,8 @@
 struct HttpResponse {
     status: u16,
     id: Option<String>,
+    /// Checksum of the request's body as the target received it.
+    checksum: Option<u64>,
     closes_connection: bool,
     body: String,
 }
@@ -180,16 +245,17 @@
         Some(Self {
             status,
             id: header("x-request-id"),
+            checksum: header("x-body-checksum").and_then(|value| value.parse().ok()),
             closes_connection: header("connection").is_some_and(|value| value == "close"),
             body,
         })
     }
 
     /// Whether the response belongs to this call and, if successful, is complete.
-    fn matches(&self, id: &str, path: &str) -> bool {
+    fn matches(&self, id: &str, path: &str, sent: &[u8]) -> bool {
         let id_matches = self.id.as_deref().is_none_or(|known| known == id);
-        let body_matches =
-            self.status != 200 || self.body.contains(&format!(" /{path}/{id}/ with 0"));
-        id_matches && body_matches
+        let ran = format!(" /{path}/{id}/ with {}", sent.len());
+        let body_matches = self.body.ends_with(&ran) && self.checksum == Some(checksum(sent));
+        id_matches && (self.status != 200 || body_matches)
     }
 }
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -186,7 +186,9 @@
 fn retries_over_budget(observations: &Observations, budget: RetryBudget) -> Option<String> {
     let retries: u32 = observations.arrivals.values().map(|count| count - 1).sum();
     let windows = (observations.duration.div_duration_f64(budget.window)).floor() + 1.0;
-    let requests = f64::from(u32::try_from(observations.calls.len()).unwrap_or(u32::MAX));
+    let sent = |call: &&Call| call.outcome != CallOutcome::NotConnected;
+    let requests = observations.calls.iter().filter(sent).count();
+    let requests = f64::from(u32::try_from(requests).unwrap_or(u32::MAX));
     let allowed = budget.ratio * requests + budget.slack * windows;
     (f64::from(retries) > allowed)
         .then(|| format!("{retries} retries of {requests} requests, {allowed} allowed"))
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -122,7 +122,11 @@
     /// Writes the next version of the configuration.
     pub(crate) fn write_configuration(&mut self) {
         self.version += 1;
-        let text = configuration(self.version, &["/safe/", "/once/"], ROUTE_TIMEOUT_MS);
+        let text = configuration(
+            self.version,
+            &["/safe/", "/once/", "/upload/"],
+            ROUTE_TIMEOUT_MS,
+        );
         self.store.put("op/config", text.as_bytes());
     }
 
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -70,6 +70,50 @@
     ChangeConfiguration,
 }
 
+/// What a fault impairs until it ends. Faults of the same part overlap: the one that
+/// began last is in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ImpairedPart {
+    /// The link from an instance to the store.
+    StoreLink(usize),
+    /// The link to a target.
+    TargetLink(usize),
+    /// A target.
+    Target(usize),
+    /// An instance that is paused.
+    Instance(usize),
+    /// The store.
+    Store,
+}
+
+impl Fault {
+    /// The part that is restored when the fault ends; `None` for a fault without an end.
+    #[must_use]
+    pub fn impaired_part(self) -> Option<ImpairedPart> {
+        match self {
+            Self::StoreLink(index, _) => Some(ImpairedPart::StoreLink(index)),
+            Self::TargetLink(index, _) => Some(ImpairedPart::TargetLink(index)),
+            Self::Target(index, _) => Some(ImpairedPart::Target(index)),
+            Self::Pause(index) => Some(ImpairedPart::Instance(index)),
+            Self::StoreUnavailable => Some(ImpairedPart::Store),
+            Self::Kill(_)
+            | Self::Terminate(_)
+            | Self::StoreLosesResponses
+            | Self::StoreCompacts
+            | Self::ChangeConfiguration => None,
+        }
+    }
+}
+
+/// The fault that is in force on the same part as `ended`, among the `active` ones in the
+/// order of their start.
+#[must_use]
+pub fn remaining_fault(ended: Fault, active: &[Fault]) -> Option<Fault> {
+    let part = ended.impaired_part()?;
+    let on_part = |fault: &&Fault| fault.impaired_part() == Some(part);
+    active.iter().rev().find(on_part).copied()
+}
+
 /// A fault with its times, relative to the start of the callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ScheduledFault {
--- a/soak/src/plan/tests.rs
+++ b/soak/src/plan/tests.rs
@@ -22,6 +22,18 @@
     assert!(overlapping.count() > schedule.len() / 2);
 }
 
+/// A link that two faults impair stays impaired when the first of them ends.
+#[test]
+fn the_end_of_a_fault_leaves_a_later_one_in_force() {
+    let early = Fault::StoreLink(1, LinkState::Reset);
+    let late = Fault::StoreLink(1, LinkState::Silent);
+    let elsewhere = Fault::StoreLink(2, LinkState::OneWay);
+    assert_eq!(remaining_fault(early, &[late, elsewhere]), Some(late));
+    assert_eq!(remaining_fault(late, &[early, elsewhere]), Some(early));
+    assert_eq!(remaining_fault(early, &[elsewhere]), None);
+    assert_eq!(remaining_fault(Fault::Kill(1), &[Fault::Kill(1)]), None);
+}
+
 #[test]
 fn every_kind_of_fault_is_drawn() {
     let kinds: std::collections::HashSet<_> = (0..20)
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -153,7 +153,16 @@
                 }
                 if started[index] && !ended[index] && now >= scheduled.start + scheduled.duration {
                     ended[index] = true;
-                    self.end(scheduled.fault);
+                    let is_active = |index: &usize| started[*index] && !ended[*index];
+                    let active: Vec<Fault> = (0..schedule.len())
+                        .filter(is_active)
+                        .map(|index| schedule[index].fault)
+                        .collect();
+                    match plan::remaining_fault(scheduled.fault, &active) {
+                        Some(Fault::Pause(_)) => {}
+                        Some(fault) => self.begin(fault),
+                        None => self.end(scheduled.fault),
+                    }
                 }
             }
             self.poll().await?;
--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -87,14 +87,6 @@
         self.len == 0
     }
 
-    /// Whether a request of rank `rank` or a more urgent one is queued.
-    #[must_use]
-    pub fn has_rank_up_to(&self, rank: Rank) -> bool {
-        self.lanes
-            .iter()
-            .any(|lane| lane.rank <= rank && lane.len() > 0)
-    }
-
     /// Number of requests that are served before a new one with this rank,
     /// caller and deadline.
     #[must_use]
--- a/src/config/change.rs
+++ b/src/config/change.rs
@@ -131,10 +131,25 @@
         return Err(conflict(&latest, &req.edits));
     }
     let revision = plan.manifest.revision;
-    propagation::adopt(instance, &plan.manifest, plan.documents)
-        .map_err(ChangeError::Unavailable)?;
+    let adopted = propagation::adopt(instance, &plan.manifest, plan.documents);
     propagation::notify_peers(instance);
-    Ok(AppliedChange { revision, warnings })
+    Ok(accepted(revision, warnings, adopted))
+}
+
+/// The result of a change that was written. It is accepted even if this instance can't
+/// put it in force yet.
+fn accepted(
+    revision: Revision,
+    mut warnings: Vec<String>,
+    adopted: Result<(), String>,
+) -> AppliedChange {
+    if let Err(problem) = adopted {
+        tracing::warn!(%revision, problem, "a written change is not in force here yet");
+        warnings.push(format!(
+            "revision {revision} was written but is not in force on this instance yet: {problem}"
+        ));
+    }
+    AppliedChange { revision, warnings }
 }
 
 /// Reads the manifest that a change is based on. A read older than the configuration in force on
@@ -272,3 +287,6 @@
         operation: operation.clone(),
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -273,8 +273,11 @@
                 lease: None,
             }],
         };
-        (self.instance.store.txn)(txn).await?;
-        tracing::info!(shard = %claim.shard, "claim released");
+        if (self.instance.store.txn)(txn).await?.succeeded {
+            tracing::info!(shard = %claim.shard, "claim released");
+        } else {
+            tracing::info!(shard = %claim.shard, "claim not released: it was changed meanwhile");
+        }
         Ok(())
     }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -118,6 +118,10 @@
     /// Logs the outcome of a step. An outage of the store is logged as a warning once, not
     /// at each step.
     fn log_outcome(&mut self, outcome: Result<(), StoreError>, reached: bool) {
+        if reached && self.outage_logged {
+            tracing::info!("store reachable again");
+            self.outage_logged = false;
+        }
         match outcome {
             Err(err) if self.outage_logged => {
                 tracing::debug!(%err, "store still unreachable");
@@ -126,10 +130,6 @@
                 tracing::warn!(%err, "control step failed, retrying");
                 self.outage_logged = !reached;
             }
-            Ok(()) if self.outage_logged => {
-                tracing::info!("store reachable again");
-                self.outage_logged = false;
-            }
             Ok(()) => {}
         }
     }
--- a/src/dispatch/call.rs
+++ b/src/dispatch/call.rs
@@ -17,6 +17,7 @@
 use super::retry::{Progress, RetryDecision};
 use crate::admission::permit::{CallReport, Refusal};
 use crate::instance::Instance;
+use crate::names::TargetId;
 
 /// Longest wait for the permit of an attempt after the first.
 const RETRY_PERMIT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -86,11 +87,26 @@
 }
 
 /// An attempt that failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Failure {
     kind: ErrorKind,
     target: SocketAddr,
 }
 
+impl Failure {
+    /// The failure of a call after two attempts: its target is the one whose failure is
+    /// reported.
+    fn merge_earlier(self, earlier: Self) -> Self {
+        let kind = self.kind.merge_earlier(Some(earlier.kind));
+        let target = if kind == self.kind {
+            self.target
+        } else {
+            earlier.target
+        };
+        Self { kind, target }
+    }
+}
+
 async fn try_attempt(
     instance: &Arc<Instance>,
     call: &mut Call,
@@ -106,13 +122,31 @@
     let Some(fingerprint) = suspect else {
         let delay = hedge_delay(instance, call, progress);
         let attempt_body = body.take(call.body_limit);
-        let first = attempt(instance, call, held, progress.attempts, attempt_body);
-        let mut first = std::pin::pin!(first);
-        let response = match delay {
-            None => first.await,
-            Some(delay) => hedged(instance, call, body, progress, delay, first.as_mut()).await,
+        let mut hedge_target = None;
+        let response = {
+            let first = attempt(instance, call, held, progress.attempts, attempt_body);
+            let mut first =
+                std::pin::pin!(async { first.await.map_err(|kind| Failure { kind, target }) });
+            match delay {
+                None => first.await,
+                Some(delay) => {
+                    let first = first.as_mut();
+                    hedged(
+                        instance,
+                        call,
+                        body,
+                        progress,
+                        delay,
+                        first,
+                        &mut hedge_target,
+                    )
+                    .await
+                }
+            }
         };
-        return response.map_err(failed);
+        // A later retry goes to neither of the two targets.
+        call.requirements.excluded.extend(hedge_target);
+        return response.map_err(AttemptError::Failed);
     };
     let Some(_guard) = SuspectGuard::begin(instance, target, fingerprint) else {
         held.release(instance, CallReport::unsent());
@@ -208,15 +242,17 @@
 
 /// Waits for the first attempt and, if it is slow, runs a second one in parallel.
 ///
-/// The attempt that responds later is dropped, which cancels it.
+/// The attempt that responds later is dropped, which cancels it. `hedge_target` is set to
+/// the target of the second one.
 async fn hedged(
     instance: &Arc<Instance>,
     call: &Call,
     body: &mut CallBody,
     progress: &mut Progress,
     delay: Duration,
-    mut first: Pin<&mut impl Future<Output = Result<TargetResponse, ErrorKind>>>,
-) -> Result<TargetResponse, ErrorKind> {
+    mut first: Pin<&mut impl Future<Output = Result<TargetResponse, Failure>>>,
+    hedge_target: &mut Option<TargetId>,
+) -> Result<TargetResponse, Failure> {
     tokio::select! {
         response = &mut first => return response,
         () = tokio::time::sleep(delay) => {}
@@ -229,15 +265,22 @@
     let second = async {
         let held = acquire_permit(instance, &call.requirements, progress.attempts).await;
         let held = held.map_err(|_| None)?;
+        let target = held.address;
+        *hedge_target = Some(held.target.clone());
         let body = body.take(call.body_limit);
         let response = attempt(instance, call, held, progress.attempts, body).await;
-        response.map_err(Some)
+        response.map_err(|kind| Some(Failure { kind, target }))
     };
     match select(first, Box::pin(second)).await {
         Either::Left((Ok(response), _)) | Either::Right((Ok(response), _)) => Ok(response),
-        Either::Left((Err(kind), second)) => second
+        Either::Left((Err(failure), second)) => second
             .await
-            .map_err(|other| other.map_or(kind, |other| other.merge_earlier(Some(kind)))),
-        Either::Right((Err(other), first)) => first.await.map_err(|kind| kind.merge_earlier(other)),
+            .map_err(|other| other.map_or(failure, |other| other.merge_earlier(failure))),
+        Either::Right((Err(other), first)) => first
+            .await
+            .map_err(|failure| other.map_or(failure, |other| failure.merge_earlier(other))),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/platform/etcd.rs
+++ b/src/platform/etcd.rs
@@ -80,7 +80,11 @@
 /// Maps an unsuccessful response to an error. After a server error, the outcome of a
 /// write is unknown.
 pub(super) fn error_from_response(status: http::StatusCode, body: &Bytes) -> StoreError {
-    let text = String::from_utf8_lossy(body).into_owned();
+    let text = if body.is_empty() {
+        format!("status {status}")
+    } else {
+        String::from_utf8_lossy(body).into_owned()
+    };
     if text.contains("requested lease not found") {
         return StoreError::LeaseExpired;
     }
--- a/src/platform/etcd_watch.rs
+++ b/src/platform/etcd_watch.rs
@@ -6,7 +6,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
@@ -18,6 +18,8 @@
 use super::http::open_stream;
 use super::store::{Change, StoreError, Watch, WatchBatch, WatchReq};
 
+/// Longest error message that is read, in bytes.
+const MAX_ERROR_BYTES: usize = 64 << 10;
 /// Longest line that is read, in bytes.
 const MAX_LINE_BYTES: usize = 16 << 20;
 /// Batches that are buffered before the reader of a watch receives them.
@@ -45,7 +47,15 @@
     )
     .await?;
     if !resp.status().is_success() {
-        return Err(error_from_response(resp.status(), &Bytes::new()));
+        let status = resp.status();
+        let body = Limited::new(resp.into_body(), MAX_ERROR_BYTES).collect();
+        let body = tokio::time::timeout(client.timeout, body).await;
+        let body = match body {
+            Ok(Ok(body)) => body.to_bytes(),
+            // The status alone must do.
+            Ok(Err(_)) | Err(_) => Bytes::new(),
+        };
+        return Err(error_from_response(status, &body));
     }
     let (tx, rx) = mpsc::channel(CHANNEL_CAPACITY);
     tokio::spawn(read_batches(resp.into_body(), tx));
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -364,9 +364,12 @@
                 ));
             }
         }
-        if self.callers.ip().is_unspecified() && self.advertise.is_none() {
-            problems
-                .push("advertise: must be set when `callers` listens on every address".to_owned());
+        for (name, address) in [("callers", self.callers), ("peers", self.peers)] {
+            if address.ip().is_unspecified() && self.advertise.is_none() {
+                problems.push(format!(
+                    "advertise: must be set when `{name}` listens on every address"
+                ));
+            }
         }
         if self
             .advertise
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -44,6 +44,18 @@
     assert_snapshot!(problems(text));
 }
 
+#[test]
+fn addresses_that_are_published_must_be_reachable() {
+    for name in ["callers", "peers"] {
+        let text = format!(
+            r#"{{"instance": "one", "zone": "a", "{name}": "0.0.0.0:80",
+                "secrets": {{"peer_key": {{"env": "K"}}}}}}"#
+        );
+        let problem = format!("advertise: must be set when `{name}` listens on every address");
+        assert!(problems(&text).contains(&problem), "{}", problems(&text));
+    }
+}
+
 #[test]
 fn serialized_settings_parse_back_unchanged() {
     let settings =
