Keep a slow target with a free slot while the others are full, and a declined request's turn

Change: after a check a request leaves its target only if that is full, or for one that would finish it within its objective; it keeps its turn.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -7,6 +7,7 @@
 use bytes::BytesMut;
 use siphasher::sip::SipHasher13;
 
+use super::placement::Requirements;
 use super::pool::TargetConn;
 use super::probe;
 use super::retry::AttemptOutcome;
@@ -144,6 +145,8 @@
     pub fingerprint: Fingerprint,
     /// Path of the health check to send first; `None` to send the request at once.
     pub check_path: Option<Arc<str>>,
+    /// What the request requires of its target.
+    pub requirements: Requirements,
     /// Targets that the request does not go to instead.
     pub tried: Vec<TargetId>,
 }
@@ -297,7 +300,7 @@
                 view.set_cold_for(now, left);
             }
         }
-        state.confirm_choice(now, choice, &plan.tried)
+        state.confirm_choice(now, choice, &plan.requirements, &plan.tried)
     };
     if confirmed && conn.conn.is_reusable() {
         return Ok(conn);
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -330,6 +330,7 @@
             at_most_once: self.admitted.route.retry_safety == RetrySafety::Never,
             fingerprint: self.fingerprint,
             check_path,
+            requirements: self.requirements(service_time),
             tried: self.tried.clone(),
         };
         self.tried.push(choice.id.clone());
@@ -485,10 +486,13 @@
         let mut state = call.shared.state();
         let service = &call.admitted.service;
         let priority = call.admitted.route.priority;
-        let may_proceed = state
-            .wait_queues
-            .get(service)
-            .is_none_or(|queue| queue.may_proceed(self.ticket.as_ref(), priority));
+        // A request that left its target after a check keeps its turn.
+        let has_turn = call.history.declined > 0 && self.ticket.is_none();
+        let may_proceed = has_turn
+            || state
+                .wait_queues
+                .get(service)
+                .is_none_or(|queue| queue.may_proceed(self.ticket.as_ref(), priority));
         if !may_proceed {
             return Err(NoTarget::NoCapacity);
         }
--- a/src/entry/placement.rs
+++ b/src/entry/placement.rs
@@ -154,6 +154,21 @@
     service_time.mul_f64(slowness * cold * (1.0 + waiting))
 }
 
+/// Whether a target has capacity and is expected to finish the request within its latency
+/// objective.
+#[must_use]
+pub fn finishes_in_time(
+    candidate: &Candidate,
+    requirements: &Requirements,
+    settings: &PlacementSettings,
+) -> bool {
+    let objective = requirements
+        .objective_left
+        .mul_f64(settings.objective_fraction);
+    has_capacity(candidate, settings)
+        && expected_duration(candidate, requirements.service_time, settings) <= objective
+}
+
 /// The index of the selected target; `draw` is in `0.0..1.0`.
 ///
 /// Targets that finish the request within its objective come first. Without one, the
@@ -166,17 +181,11 @@
     settings: &PlacementSettings,
     draw: f64,
 ) -> Option<usize> {
-    let duration =
-        |candidate: &Candidate| expected_duration(candidate, requirements.service_time, settings);
-    let objective = requirements
-        .objective_left
-        .mul_f64(settings.objective_fraction);
-    let in_time = |candidate: &Candidate| {
-        has_capacity(candidate, settings) && duration(candidate) <= objective
-    };
+    let in_time = |candidate: &Candidate| finishes_in_time(candidate, requirements, settings);
     let late = |candidate: &Candidate| {
         candidate.occupied + 1.0 <= candidate.slots
-            && duration(candidate) <= requirements.deadline_left
+            && expected_duration(candidate, requirements.service_time, settings)
+                <= requirements.deadline_left
     };
     cheapest(candidates, in_time, settings, draw)
         .or_else(|| cheapest(candidates, late, settings, draw))
--- a/src/entry/precheck.rs
+++ b/src/entry/precheck.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use super::placement::{self, Candidate, PlacementSettings};
+use super::placement::{self, Candidate, PlacementSettings, Requirements};
 
 /// Parameters of the decisions.
 #[derive(Debug, Clone, PartialEq)]
@@ -76,18 +76,27 @@
 
 /// Whether a request is sent to the target that was just checked, or another is selected:
 /// `others` are the targets that could take it instead.
+///
+/// Load pattern: a burst while a third of the targets are silent. Most of the others are
+/// full, and a slow one with a free slot is better than none: only a target that would
+/// finish the request within its objective is preferred.
 #[must_use]
 pub fn confirms(
     checked: &Candidate,
     others: &[Candidate],
+    requirements: &Requirements,
     placement: &PlacementSettings,
     settings: &PrecheckSettings,
 ) -> bool {
-    let cost = placement::cost(checked, placement);
-    others
-        .iter()
-        .filter(|other| placement::has_capacity(other, placement))
-        .all(|other| placement::cost(other, placement) + settings.switch_margin >= cost)
+    if !placement::has_capacity(checked, placement) {
+        return false;
+    }
+    let limit = placement::cost(checked, placement) - settings.switch_margin;
+    let is_better = |other: &Candidate| {
+        placement::finishes_in_time(other, requirements, placement)
+            && placement::cost(other, placement) < limit
+    };
+    !others.iter().any(is_better)
 }
 
 #[cfg(test)]
--- a/src/entry/precheck/tests.rs
+++ b/src/entry/precheck/tests.rs
@@ -14,8 +14,14 @@
 }
 
 fn confirms(checked: Candidate, others: &[Candidate]) -> bool {
+    let requirements = Requirements {
+        service_time: Duration::from_millis(90),
+        objective_left: Duration::from_millis(250),
+        deadline_left: Duration::from_secs(2),
+    };
     let placement = PlacementSettings::default();
-    super::confirms(&checked, others, &placement, &PrecheckSettings::default())
+    let settings = PrecheckSettings::default();
+    super::confirms(&checked, others, &requirements, &placement, &settings)
 }
 
 fn is_worthwhile(age_ms: Option<u64>, service_ms: u64, checks: u32) -> bool {
@@ -88,7 +94,7 @@
             let mut view: Vec<Candidate> = (0..TARGETS)
                 .map(|target| candidate(slowness(target, report_at), 1.0))
                 .collect();
-            let requirements = placement::Requirements {
+            let requirements = Requirements {
                 service_time: Duration::from_millis(900),
                 objective_left: Duration::from_secs(2),
                 deadline_left: Duration::from_secs(10),
@@ -105,7 +111,7 @@
                 }
                 checks += 1;
                 view[chosen].slowness_percent = Some(slowness(chosen, now_ms));
-                if super::confirms(&view[chosen], &view, &placement, &settings) {
+                if super::confirms(&view[chosen], &view, &requirements, &placement, &settings) {
                     break chosen;
                 }
             };
--- a/src/entry/selection.rs
+++ b/src/entry/selection.rs
@@ -140,6 +140,7 @@
         &mut self,
         now: Time,
         choice: &mut ChosenTarget,
+        requirements: &Requirements,
         tried: &[TargetId],
     ) -> bool {
         let own_zone = self.settings.zone.clone();
@@ -158,7 +159,13 @@
         choice.report_age = Some(Duration::ZERO);
         let others = self.classify_targets(now, &service, tried).candidates;
         let (placement, precheck) = (&self.tuning.placement, &self.tuning.precheck);
-        precheck::confirms(&choice.candidate, &others, placement, precheck)
+        precheck::confirms(
+            &choice.candidate,
+            &others,
+            requirements,
+            placement,
+            precheck,
+        )
     }
 
     /// Classifies the targets of a service by whether they may take a request now.
