Keep what an instance computes each tick flat as the membership grows

Cause: at 313 instances each tick compared every member with every registration (98,000 comparisons, ten times a second), compared instances for each target of other zones, and hashed every member for each cold target at each choice.

Change: silence is checked before the registration; only targets of the own zone, or of one without live instances, are compared; a rank is kept while the set of members is the same. No decision changes.

--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use siphasher::sip::SipHasher13;
 
 use super::message::{Heartbeat, MAX_RELAYED, RelayedStatus};
@@ -93,6 +93,7 @@
     silence_timeout: Duration,
     remove_after: Duration,
     by_address: IndexMap<SocketAddr, Member>,
+    generation: u64,
 }
 
 impl Members {
@@ -104,23 +105,33 @@
             silence_timeout,
             remove_after,
             by_address: IndexMap::new(),
+            generation: 0,
         }
     }
 
     /// Adds an instance that the store, a seed or a peer names; does nothing when it is
     /// known.
     pub fn add(&mut self, now: Time, address: SocketAddr, zone: &ZoneName) {
-        if address == self.own {
+        if address == self.own || self.by_address.contains_key(&address) {
             return;
         }
-        self.by_address.entry(address).or_insert_with(|| Member {
+        let member = Member {
             zone: zone.clone(),
             known_since: now,
             last_heartbeat: None,
             last_direct: None,
             last_sent: None,
             status: InstanceStatus::default(),
-        });
+        };
+        self.by_address.insert(address, member);
+        self.generation += 1;
+    }
+
+    /// The zones with a live instance that is not shutting down.
+    #[must_use]
+    pub fn live_zones(&self, now: Time) -> IndexSet<ZoneName> {
+        let live = self.live(now).filter(|(_, member)| !member.status.leaving);
+        live.map(|(_, member)| member.zone.clone()).collect()
     }
 
     /// Records a heartbeat; returns true when the sender was not live before.
@@ -192,11 +203,20 @@
     /// Removes instances that have been silent for `remove_after`, unless they are
     /// registered in the store.
     pub fn remove_silent(&mut self, now: Time, is_registered: impl Fn(&SocketAddr) -> bool) {
-        let remove_after = self.remove_after;
+        let (remove_after, count) = (self.remove_after, self.by_address.len());
         self.by_address.retain(|address, member| {
             let since = member.last_heartbeat.unwrap_or(member.known_since);
-            is_registered(address) || now.since(since) < remove_after
+            now.since(since) < remove_after || is_registered(address)
         });
+        if self.by_address.len() != count {
+            self.generation += 1;
+        }
+    }
+
+    /// Changes whenever the set of known instances does.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.generation
     }
 
     /// Whether an instance sent a heartbeat within the silence timeout.
--- a/src/entry/members/tests.rs
+++ b/src/entry/members/tests.rs
@@ -98,6 +98,21 @@
     assert_eq!(ranks[probers[0]], 1);
 }
 
+/// A kept rank is computed anew when the set of known instances changes.
+#[test]
+fn a_rank_holds_for_one_generation_of_the_members() {
+    let mut members = Members::new(address(0), SILENCE_TIMEOUT, Duration::from_secs(60));
+    let before = members.generation();
+    members.add(Time::ZERO, address(1), &"a".into());
+    let after = members.generation();
+    assert_ne!(before, after);
+    members.add(Time::ZERO, address(1), &"a".into());
+    members.record_heartbeat(Time::from_secs(1), address(1), &heartbeat(true));
+    assert_eq!(members.generation(), after);
+    members.remove_silent(Time::from_secs(90), |_| false);
+    assert_ne!(members.generation(), after);
+}
+
 #[test]
 fn a_target_is_probed_from_its_zone_while_an_instance_is_live_there() {
     let now = Time::from_secs(1);
--- a/src/entry/selection.rs
+++ b/src/entry/selection.rs
@@ -179,9 +179,11 @@
         let cold_limit = self.cold_limit(service);
         let knows_members = now.since(self.started) >= MEMBER_DISCOVERY_TIME;
         let members = &self.members;
-        let allowance = |view: &TargetState| {
+        let generation = members.generation();
+        let allowance = |view: &mut TargetState| {
             if knows_members {
-                cold_allowance(cold_limit, members.rank(&view.target.id))
+                let rank = view.cold_rank(generation, |target| members.rank(target));
+                cold_allowance(cold_limit, rank)
             } else {
                 0
             }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -332,10 +332,15 @@
         let Some(configuration) = self.replica.configuration() else {
             return Vec::new();
         };
+        let own_zone = &self.settings.zone;
+        let live_zones = self.members.live_zones(now);
+        // Instances in a target's zone come first, so most targets need no comparison.
+        let may_probe = |zone: &ZoneName| zone == own_zone || !live_zones.contains(zone);
         self.targets
             .views()
             .filter(|view| {
                 !view.is_leaving()
+                    && may_probe(&view.target.zone)
                     && self
                         .members
                         .is_prober(now, &self.settings.zone, &view.target)
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -66,6 +66,8 @@
     cold_requests: SlidingWindow,
     /// Checks by this instance right before requests.
     pub checks: SlidingWindow,
+    /// This instance's rank for it, with the generation of the members that it holds for.
+    cold_rank: Option<(u64, usize)>,
 }
 
 /// Why a target takes no request now.
@@ -100,6 +102,7 @@
             failure_rate_at: now,
             cold_requests: SlidingWindow::default(),
             checks: SlidingWindow::default(),
+            cold_rank: None,
         }
     }
 
@@ -193,6 +196,19 @@
         }
     }
 
+    /// This instance's rank for it among the members of a `generation`; `rank` is called
+    /// once for each generation, as it costs a hash for each member.
+    pub fn cold_rank(&mut self, generation: u64, rank: impl FnOnce(&TargetId) -> usize) -> usize {
+        match self.cold_rank {
+            Some((known, rank)) if known == generation => rank,
+            _ => {
+                let rank = rank(&self.target.id);
+                self.cold_rank = Some((generation, rank));
+                rank
+            }
+        }
+    }
+
     /// Records a request to it while it is cold.
     pub fn record_cold_request(&mut self, now: Time) {
         self.cold_requests.record(now);
@@ -204,7 +220,7 @@
         &mut self,
         now: Time,
         evacuated: &IndexSet<ZoneName>,
-        cold_allowance: impl Fn(&Self) -> usize,
+        cold_allowance: impl Fn(&mut Self) -> usize,
     ) -> Option<UnusableReason> {
         if self.target.leaving || self.removed_at.is_some_and(|at| now >= at) {
             return Some(UnusableReason::Leaving);
