--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -1,6 +1,8 @@
 //! Forwards one request from its caller to a target, with retries, hedging and
 //! queueing.
 
+mod queue_place;
+
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -9,6 +11,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
+use self::queue_place::QueuePlace;
 use super::attempt::{AttemptPlan, CompletedAttempt, OutboundRequest};
 use super::hedge::{self, Progress};
 use super::model::{RetrySafety, Route};
@@ -20,7 +23,6 @@
 use super::selection::{ChosenTarget, NoTarget};
 use super::shared::Shared;
 use super::upload::{self, UploadSettings};
-use super::wait_queue::{Ticket, expected_wait};
 use crate::dispatch::quarantine::{Fingerprint, QuarantineStatus};
 use crate::http1::client::Response;
 use crate::http1::server::{Reply, Request};
@@ -341,15 +343,12 @@
 
     /// Selects a target, queueing while there is no capacity.
     async fn acquire_target(&self) -> Result<ChosenTarget, Refusal> {
-        let mut ticket = QueuePlace {
-            call: self,
-            ticket: None,
-        };
+        let mut place = QueuePlace::new(self);
         loop {
             let freed = self.shared.capacity_freed.notified();
-            match ticket.try_acquire() {
+            match place.try_acquire() {
                 Ok(choice) => return Ok(choice),
-                Err(NoTarget::NoCapacity) => ticket.enqueue_or_refuse()?,
+                Err(NoTarget::NoCapacity) => place.enqueue_or_refuse()?,
                 Err(reason @ (NoTarget::NoneUsable | NoTarget::AllTried)) => {
                     return Err(Refusal::without_target(self.history, reason));
                 }
@@ -472,83 +471,6 @@
     }
 }
 
-/// A request's place in the wait queue. Dropping it removes the request from the queue.
-struct QueuePlace<'a, 'b> {
-    call: &'a Call<'b>,
-    ticket: Option<Ticket>,
-}
-
-impl QueuePlace<'_, '_> {
-    fn try_acquire(&self) -> Result<ChosenTarget, NoTarget> {
-        let call = self.call;
-        let now = call.shared.now();
-        let requirements = call.requirements(call.service_time());
-        let mut state = call.shared.state();
-        let service = &call.admitted.service;
-        let priority = call.admitted.route.priority;
-        // A request that left its target after a check keeps its turn.
-        let has_turn = call.history.declined > 0 && self.ticket.is_none();
-        let may_proceed = has_turn
-            || state
-                .wait_queues
-                .get(service)
-                .is_none_or(|queue| queue.may_proceed(self.ticket.as_ref(), priority));
-        if !may_proceed {
-            return Err(NoTarget::NoCapacity);
-        }
-        state.select_target(now, service, &requirements, &call.tried)
-    }
-
-    /// Joins the queue, or refuses the request with a time to retry after if it can no
-    /// longer finish within its objective.
-    fn enqueue_or_refuse(&mut self) -> Result<(), Refusal> {
-        let call = self.call;
-        let service_time = call.service_time();
-        let left = call.requirements(service_time).objective_left;
-        if self.ticket.is_some() {
-            return if service_time > left {
-                Err(Refusal::new(NoTarget::NoCapacity, service_time))
-            } else {
-                Ok(())
-            };
-        }
-        let mut state = call.shared.state();
-        let slots = state.slot_share(&call.admitted.service);
-        let queue = state
-            .wait_queues
-            .entry(call.admitted.service.clone())
-            .or_default();
-        let priority = call.admitted.route.priority;
-        let wait = expected_wait(queue.ahead_of(priority), slots, service_time);
-        if wait + service_time > left {
-            return Err(Refusal::new(NoTarget::NoCapacity, wait));
-        }
-        let due = call.shared.now().after(left);
-        self.ticket = Some(queue.enqueue(priority, due));
-        tracing::info!(
-            request = &*call.outbound.id,
-            service = %call.admitted.service,
-            expected_ms = millis(wait),
-            "request queued"
-        );
-        Ok(())
-    }
-}
-
-impl Drop for QueuePlace<'_, '_> {
-    fn drop(&mut self) {
-        let Some(ticket) = self.ticket else {
-            return;
-        };
-        let mut state = self.call.shared.state();
-        if let Some(queue) = state.wait_queues.get_mut(&self.call.admitted.service) {
-            queue.remove(&ticket);
-        }
-        drop(state);
-        self.call.shared.capacity_freed.notify_waiters();
-    }
-}
-
 impl Shared {
     /// Finds the route and service of a request.
     fn admit(&self, req: &Request) -> Result<AdmittedRequest, Outcome> {
--- /dev/null
+++ b/src/entry/forward/queue_place.rs
@@ -0,0 +1,88 @@
+//! A request's place in the queue of those that wait for capacity.
+
+use super::super::outcome::Refusal;
+use super::super::selection::{ChosenTarget, NoTarget};
+use super::super::wait_queue::{Ticket, expected_wait};
+use super::{Call, millis};
+
+/// A request's place in the wait queue. Dropping it removes the request from the queue.
+pub(super) struct QueuePlace<'a, 'b> {
+    call: &'a Call<'b>,
+    ticket: Option<Ticket>,
+}
+
+impl<'a, 'b> QueuePlace<'a, 'b> {
+    pub(super) fn new(call: &'a Call<'b>) -> Self {
+        Self { call, ticket: None }
+    }
+
+    /// Selects a target if it is this request's turn.
+    pub(super) fn try_acquire(&self) -> Result<ChosenTarget, NoTarget> {
+        let call = self.call;
+        let now = call.shared.now();
+        let requirements = call.requirements(call.service_time());
+        let mut state = call.shared.state();
+        let service = &call.admitted.service;
+        let priority = call.admitted.route.priority;
+        // A request that left its target after a check keeps its turn.
+        let has_turn = call.history.declined > 0 && self.ticket.is_none();
+        let may_proceed = has_turn
+            || state
+                .wait_queues
+                .get(service)
+                .is_none_or(|queue| queue.may_proceed(self.ticket.as_ref(), priority));
+        if !may_proceed {
+            return Err(NoTarget::NoCapacity);
+        }
+        state.select_target(now, service, &requirements, &call.tried)
+    }
+
+    /// Joins the queue, or refuses the request with a time to retry after if it can no
+    /// longer finish within its objective.
+    pub(super) fn enqueue_or_refuse(&mut self) -> Result<(), Refusal> {
+        let call = self.call;
+        let service_time = call.service_time();
+        let left = call.requirements(service_time).objective_left;
+        if self.ticket.is_some() {
+            return if service_time > left {
+                Err(Refusal::new(NoTarget::NoCapacity, service_time))
+            } else {
+                Ok(())
+            };
+        }
+        let mut state = call.shared.state();
+        let slots = state.slot_share(&call.admitted.service);
+        let queue = state
+            .wait_queues
+            .entry(call.admitted.service.clone())
+            .or_default();
+        let priority = call.admitted.route.priority;
+        let wait = expected_wait(queue.ahead_of(priority), slots, service_time);
+        if wait + service_time > left {
+            return Err(Refusal::new(NoTarget::NoCapacity, wait));
+        }
+        let due = call.shared.now().after(left);
+        self.ticket = Some(queue.enqueue(priority, due));
+        tracing::info!(
+            request = &*call.outbound.id,
+            service = %call.admitted.service,
+            expected_ms = millis(wait),
+            "request queued"
+        );
+        Ok(())
+    }
+}
+
+impl Drop for QueuePlace<'_, '_> {
+    fn drop(&mut self) {
+        let Some(ticket) = self.ticket else {
+            return;
+        };
+        let mut state = self.call.shared.state();
+        if let Some(queue) = state.wait_queues.get_mut(&self.call.admitted.service) {
+            queue.remove(&ticket);
+        }
+        drop(state);
+        self.call.shared.capacity_freed.notify_waiters();
+    }
+}
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod body;
 pub(crate) mod client;
+mod incoming;
 pub(crate) mod request_body;
 pub(crate) mod server;
 
--- a/src/http1/server.rs
+++ b/src/http1/server.rs
@@ -11,8 +11,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use super::body::{BodyDecoder, BodyError, Decoded, Framing, declared_framing};
+use super::body::{BodyError, Framing, declared_framing};
 use super::client::set_socket_options;
+use super::incoming::{BODY_READ_BYTES, Discarded, IncomingBody};
 use super::request_body::{BodyMemory, RequestBody};
 use super::{MAX_HEADERS, READ_BYTES, connection_lists, header_map, write_headers};
 
@@ -26,8 +27,6 @@
 /// Time to read the rest of a body whose request has its response. A client that sends
 /// longer is disconnected.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
-/// Buffer space for each read while a body arrives.
-const BODY_READ_BYTES: usize = 16 << 10;
 
 /// Request whose body may still be arriving.
 #[derive(Debug, Clone)]
@@ -122,7 +121,9 @@
         };
         let persistence = head.persistence();
         let is_head = head.method == "HEAD";
-        let mut incoming = IncomingBody::new(&head, limits, &context.body_memory);
+        let awaits_continue = head.expects_continue() == Ok(true);
+        let memory = &context.body_memory;
+        let mut incoming = IncomingBody::new(head.framing, awaits_continue, limits, memory);
         let req = Request {
             method: head.method,
             target: head.target,
@@ -223,86 +224,6 @@
     }
 }
 
-/// The body of the current request, as the connection receives it.
-struct IncomingBody {
-    body: Arc<RequestBody>,
-    decoder: Option<BodyDecoder>,
-    /// Whether the client waits for an interim response before it sends the body.
-    awaits_continue: bool,
-    idle_timeout: Duration,
-    last_progress: Instant,
-}
-
-impl IncomingBody {
-    fn new(head: &Head, limits: RequestLimits, memory: &Arc<BodyMemory>) -> Self {
-        let declared = match head.framing {
-            Framing::Length(length) => Some(length),
-            Framing::None => Some(0),
-            Framing::Chunked | Framing::UntilClose => None,
-        };
-        let body = Arc::new(RequestBody::new(declared, memory.clone()));
-        let decoder = match BodyDecoder::new(head.framing, limits.max_body_bytes) {
-            Ok(decoder) => Some(decoder),
-            Err(err) => {
-                body.end(Err(err));
-                None
-            }
-        };
-        Self {
-            body,
-            decoder,
-            awaits_continue: head.expects_continue() == Ok(true),
-            idle_timeout: limits.idle_timeout,
-            last_progress: Instant::now(),
-        }
-    }
-
-    /// Whether more of it may arrive.
-    fn is_open(&self) -> bool {
-        let complete = self.decoder.as_ref().is_none_or(BodyDecoder::is_complete);
-        !complete
-    }
-
-    /// Whether its end can be found, so that another request may follow it.
-    fn may_end(&self) -> bool {
-        self.decoder.is_some() && !self.awaits_continue
-    }
-
-    /// Moves what has arrived of it from `buf` to the body.
-    fn receive(&mut self, buf: &mut BytesMut) {
-        while let Some(decoder) = &mut self.decoder
-            && self.body.has_space()
-        {
-            match decoder.decode(buf, BODY_READ_BYTES) {
-                Ok(Decoded::Data(data)) => {
-                    self.awaits_continue = false;
-                    self.body.push(&data);
-                }
-                Ok(Decoded::Incomplete) => return,
-                Ok(Decoded::End) => {
-                    self.awaits_continue = false;
-                    self.body.end(Ok(()));
-                    return;
-                }
-                Err(err) => self.fail(err),
-            }
-        }
-    }
-
-    fn fail(&mut self, err: BodyError) {
-        self.decoder = None;
-        self.body.end(Err(err));
-    }
-
-    fn record_progress(&mut self) {
-        self.last_progress = Instant::now();
-    }
-
-    fn idle_deadline(&self) -> Instant {
-        self.last_progress + self.idle_timeout
-    }
-}
-
 impl ServerConn {
     /// Reads the head of the next request.
     async fn next_head(
@@ -419,14 +340,10 @@
     async fn discard_rest(&mut self, incoming: &mut IncomingBody) -> bool {
         let deadline = Instant::now() + DISCARD_TIMEOUT;
         loop {
-            let Some(decoder) = &mut incoming.decoder else {
-                return false;
-            };
-            match decoder.decode(&mut self.buf, usize::MAX) {
-                Ok(Decoded::Data(_)) => continue,
-                Ok(Decoded::End) => return true,
-                Ok(Decoded::Incomplete) => {}
-                Err(_) => return false,
+            match incoming.discard(&mut self.buf) {
+                Discarded::All => return true,
+                Discarded::Failed => return false,
+                Discarded::Incomplete => {}
             }
             self.buf.reserve(BODY_READ_BYTES);
             let reading = self.stream.read_buf(&mut self.buf);
--- a/tests/entry_uploads/mod.rs
+++ b/tests/entry_uploads/mod.rs
@@ -165,6 +165,40 @@
     assert_eq!(cluster.runs("early"), 1);
 }
 
+/// Together the uploads are several times as large as the memory for bodies, an eighth of
+/// 160 MB; one read of each connection may exceed it. Some may be refused for lack of
+/// capacity or time.
+#[tokio::test]
+async fn two_hundred_uploads_at_once_stay_within_the_memory_for_bodies() {
+    const UPLOADS: usize = 200;
+    const BODY_MEMORY: f64 = 20e6;
+    let cluster = start(2).await;
+    cluster.set_read_pause(Duration::from_millis(20));
+    let body = std::sync::Arc::new(body(LARGE));
+    let mut uploads = Vec::new();
+    for number in 0..UPLOADS {
+        let mut conn = cluster.connect(0).await;
+        conn.send_upload_head(&format!("many-{number}"), Some(LARGE))
+            .await;
+        let body = body.clone();
+        uploads.push(tokio::spawn(async move {
+            conn.send(&body).await;
+            conn.response().await.status
+        }));
+    }
+    let mut most = 0.0_f64;
+    while !uploads.iter().all(tokio::task::JoinHandle::is_finished) {
+        let held = cluster.metric(0, "entry_body_bytes").await.unwrap();
+        most = most.max(held);
+    }
+    let limit = BODY_MEMORY + 200.0 * 16_384.0;
+    assert!(most <= limit, "{most} bytes were held");
+    for upload in uploads {
+        let status = upload.await.unwrap();
+        assert!(matches!(status, 200 | 408 | 503 | 504), "{status}");
+    }
+}
+
 #[tokio::test]
 async fn an_upload_whose_caller_leaves_is_ended_at_the_target() {
     let cluster = start(1).await;
