Make the test of a shed upload independent of the machine's speed

The program was right, the test was not.

Change: the stand-in targets shed each request at its first arrival at any of them, so every upload that is retried must arrive whole at a second target; the first refusals, before the instance has a budget, must have arrived once and run nowhere. That is stricter: each upload is checked, not one in some rounds.

--- a/standin/src/prepared/target.rs
+++ b/standin/src/prepared/target.rs
@@ -48,6 +48,9 @@
     pub healthy: bool,
     /// Pause after each part of a body that is read.
     pub read_pause: Duration,
+    /// Requests that were shed at their first arrival, shared by some targets; `None` if
+    /// that is not done.
+    pub shed_first: Option<Shared<Vec<String>>>,
 }
 
 /// Counts of the requests that a target received, by their identifiers.
@@ -142,6 +145,7 @@
             slowness_percent: 100,
             healthy: true,
             read_pause: Duration::ZERO,
+            shed_first: None,
         }
     }
 }
@@ -173,7 +177,7 @@
     if !expected.is_empty() && expected != cx.id {
         return Some(response(421, &[("x-instance-id", &*cx.id)], String::new()));
     }
-    if state.behaviour == Behaviour::Shedding {
+    if state.behaviour == Behaviour::Shedding || is_shed_first(&state, &id) {
         return Some(response(503, &[("x-not-executed", "1")], String::new()));
     }
     let (method, path) = (req.method().clone(), req.uri().path().to_owned());
@@ -209,6 +213,21 @@
     }
 }
 
+/// Whether a request arrives for the first time at any of the targets that shed it then.
+fn is_shed_first(state: &State, id: &str) -> bool {
+    let Some(known) = &state.shed_first else {
+        return false;
+    };
+    let mut is_first = false;
+    known.change(|known| {
+        is_first = !known.iter().any(|other| other == id);
+        if is_first {
+            known.push(id.to_owned());
+        }
+    });
+    is_first
+}
+
 /// Counts a body that is dropped before it was read whole.
 struct BodyGuard {
     record: Shared<Record>,
--- a/tests/entry_cluster/mod.rs
+++ b/tests/entry_cluster/mod.rs
@@ -285,11 +285,13 @@
         self.wait_until(broken, |known| *known == count).await;
     }
 
-    /// Sets the behaviour of one target.
-    pub fn set_target_behaviour(&self, target: usize, behaviour: Behaviour) {
-        self.targets[target]
-            .state
-            .change(|state| state.behaviour = behaviour);
+    /// Makes the targets shed each request at its first arrival at any of them.
+    pub fn shed_each_request_once(&self) {
+        let known = standin::faults::Shared::<Vec<String>>::default();
+        for target in &self.targets {
+            let known = Some(known.clone());
+            target.state.change(|state| state.shed_first = known);
+        }
     }
 
     /// Sets how long the targets pause after each part of a body.
--- a/tests/entry_uploads/mod.rs
+++ b/tests/entry_uploads/mod.rs
@@ -9,6 +9,9 @@
 /// Size of a large upload, in bytes.
 const LARGE: usize = 360_000;
 
+/// Longest wait for a retry budget.
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
+
 async fn start(targets: usize) -> EntryCluster {
     let cluster = EntryCluster::start(1, targets).await;
     cluster.configure(8, &["/safe/", "/upload/"]);
@@ -90,43 +93,27 @@
     assert_eq!(conn.response().await.status, 200);
 }
 
-/// In each round all targets shed first, so that the next choice does not avoid the two
-/// that still do, and until the instance, which has just started, has a retry budget.
+/// An instance that has just started has no retry budget yet and refuses the first ones.
 #[tokio::test]
 async fn an_upload_that_a_target_sheds_goes_to_another_whole() {
-    const ROUNDS: usize = 30;
-    /// More than the requests of this test alone allow.
-    const CONSECUTIVE_RETRIES: usize = 3;
     let cluster = start(3).await;
-    let body = body(60_000);
-    for round in 0..ROUNDS {
-        cluster.set_behaviour(Behaviour::Shedding);
-        let mut retried = 0;
-        for number in 0.. {
-            let id = format!("all-{round}-{number}");
-            let resp = upload(&cluster, &id, &body).await;
-            assert_eq!((resp.status, cluster.runs(&id)), (503, 0), "{id}: {resp:?}");
-            retried = if cluster.arrivals(&id) > 1 {
-                retried + 1
-            } else {
-                0
-            };
-            if retried == CONSECUTIVE_RETRIES {
-                break;
-            }
-            assert!(number < 2_000, "no retry was ever sent");
-        }
-        cluster.set_target_behaviour(2, Behaviour::Serving);
-        let id = format!("two-{round}");
+    cluster.shed_each_request_once();
+    let body = body(LARGE);
+    let started = std::time::Instant::now();
+    for number in 0.. {
+        let id = format!("shed-{number}");
         let resp = upload(&cluster, &id, &body).await;
-        if resp.status == 200 && cluster.arrivals(&id) > 1 {
-            let sum = checksum(&body).to_string();
-            assert_eq!(resp.header("x-body-checksum"), Some(&*sum));
-            assert_eq!(cluster.runs(&id), 1);
-            return;
+        if resp.status == 503 {
+            assert_eq!((cluster.arrivals(&id), cluster.runs(&id)), (1, 0), "{id}");
+            assert!(started.elapsed() < WAIT_LIMIT, "no retry was ever sent");
+            continue;
         }
+        assert_eq!(resp.status, 200, "{id}: {resp:?}");
+        assert_eq!((cluster.arrivals(&id), cluster.runs(&id)), (2, 1), "{id}");
+        let sum = checksum(&body).to_string();
+        assert_eq!(resp.header("x-body-checksum"), Some(&*sum));
+        return;
     }
-    panic!("no upload was sent to a second target in {ROUNDS} rounds");
 }
 
 /// No response may claim that the upload was not run, and it is not sent to another target.
