Log the store's era, a revision that goes back, and the version behind a 404

Change: the client of the store reads the Store-Era header; one line when a result lies before what is known; the version in force in the line of a request without success. No decision changes.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -82,6 +82,7 @@
             request = &*id,
             %outcome,
             status = reply.status,
+            version = shared.state().status.version,
             took_ms = millis(started.elapsed()),
             "request ended without success"
         );
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -196,6 +196,7 @@
 
 fn apply(shared: &Shared, change_set: ChangeSet, complete: bool) {
     let now = shared.now();
+    log_position(shared, &change_set, complete);
     shared.record_rejected(change_set.rejected);
     let changes: Vec<Change> = change_set.changes;
     let delta = Delta {
@@ -208,6 +209,20 @@
     }
 }
 
+/// Logs a result of the store that lies before what this instance already has.
+fn log_position(shared: &Shared, change_set: &ChangeSet, complete: bool) {
+    let known_revision = shared.state().replica.revision();
+    if change_set.revision < known_revision {
+        tracing::warn!(
+            era = change_set.era,
+            revision = change_set.revision,
+            known_revision,
+            complete,
+            "store revision went back"
+        );
+    }
+}
+
 fn set_access(shared: &Shared, access: StoreAccess) {
     let mut state = shared.state();
     if access == StoreAccess::Watching && !state.watches() {
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -11,7 +11,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::json;
 
-use super::record;
+use super::{record, wire};
 use crate::entry::model::Change;
 use crate::http1::client::{Conn, ExchangeError, OutgoingRequest, Response};
 
@@ -58,6 +58,8 @@
 pub(crate) struct ChangeSet {
     /// Records and removals; those of a watch are ordered by revision.
     pub changes: Vec<Change>,
+    /// Number of times that the store was restored from a copy.
+    pub era: u64,
     /// Store revision of the result, from which the next watch starts.
     pub revision: u64,
     /// Records that can't be decoded.
@@ -100,7 +102,7 @@
         consistency: ReadConsistency,
     ) -> Result<ChangeSet, StoreError> {
         let mut items = Vec::new();
-        let mut revision = None;
+        let mut first = None;
         let mut after = String::new();
         loop {
             let stale = match consistency {
@@ -111,15 +113,15 @@
                 "/api/kv-range?prefix=&after={}{stale}",
                 percent_encode(&after)
             );
-            let page: Page = self.get("range", &path, CALL_TIMEOUT).await?;
-            revision.get_or_insert(page.store_revision);
+            let Answer { era, body: page } = self.get::<Page>("range", &path, CALL_TIMEOUT).await?;
+            let (_, revision) = *first.get_or_insert((era, page.store_revision));
             if let Some(last) = page.items.last() {
                 after.clone_from(&last.key);
             }
             let more = page.more_pages && !page.items.is_empty();
             items.extend(page.items);
             if !more {
-                return Ok(ChangeSet::decode(items, revision.unwrap_or_default()));
+                return Ok(ChangeSet::decode(items, era, revision));
             }
         }
     }
@@ -137,8 +139,10 @@
     ) -> Result<ChangeSet, StoreError> {
         let wait_ms = wait.as_millis();
         let path = format!("/api/kv-watch?prefix=&after={revision}&wait_ms={wait_ms}");
-        let events: Events = self.get("watch", &path, wait + WATCH_MARGIN).await?;
-        Ok(ChangeSet::decode(events.events, events.store_revision))
+        let Answer { era, body: events } = self
+            .get::<Events>("watch", &path, wait + WATCH_MARGIN)
+            .await?;
+        Ok(ChangeSet::decode(events.events, era, events.store_revision))
     }
 
     /// Writes a record if its key is at `revision`; 0 requires that it does not exist.
@@ -155,7 +159,8 @@
             "writes": [{ "key": key, "value": value, "lease": 0 }],
             "remove": [],
         });
-        let _: serde_json::Value = self.post("put", "/api/kv-txn", &body).await?;
+        self.post::<serde_json::Value>("put", "/api/kv-txn", &body)
+            .await?;
         Ok(())
     }
 
@@ -167,7 +172,8 @@
             "writes": [],
             "remove": [key],
         });
-        let _: serde_json::Value = self.post("remove", "/api/kv-txn", &body).await?;
+        self.post::<serde_json::Value>("remove", "/api/kv-txn", &body)
+            .await?;
         Ok(())
     }
 
@@ -176,7 +182,7 @@
         kind: &str,
         path: &str,
         timeout: Duration,
-    ) -> Result<T, StoreError> {
+    ) -> Result<Answer<T>, StoreError> {
         let req = format!("GET {path} HTTP/1.1\r\nhost: {}\r\n\r\n", self.address);
         self.call(kind, req.as_bytes(), timeout).await
     }
@@ -186,7 +192,7 @@
         kind: &str,
         path: &str,
         body: &serde_json::Value,
-    ) -> Result<T, StoreError> {
+    ) -> Result<Answer<T>, StoreError> {
         let body = body.to_string();
         let req = format!(
             "POST {path} HTTP/1.1\r\nhost: {}\r\ncontent-type: application/json\r\n\
@@ -202,7 +208,7 @@
         kind: &str,
         req: &[u8],
         timeout: Duration,
-    ) -> Result<T, StoreError> {
+    ) -> Result<Answer<T>, StoreError> {
         let conn = self.conn.take().filter(Conn::is_reusable);
         let mut conn = match conn {
             Some(conn) => conn,
@@ -224,10 +230,19 @@
             Err(_) => return Err(StoreError::OutcomeUnknown("timed out".into())),
         };
         self.conn = Some(conn);
-        decode_response(&resp)
+        Ok(Answer {
+            era: wire::store_era(&resp.headers),
+            body: decode_response(&resp)?,
+        })
     }
 }
 
+/// Body of a response of the store, with its era.
+struct Answer<T> {
+    era: u64,
+    body: T,
+}
+
 fn decode_response<T: DeserializeOwned>(resp: &Response) -> Result<T, StoreError> {
     match resp.status {
         200 => {
@@ -265,9 +280,10 @@
 
 impl ChangeSet {
     /// Decodes items; keys that entry instances don't use are left out.
-    fn decode(items: Vec<Item>, revision: u64) -> Self {
+    fn decode(items: Vec<Item>, era: u64, revision: u64) -> Self {
         let mut set = Self {
             changes: Vec::with_capacity(items.len()),
+            era,
             revision,
             rejected: Vec::new(),
         };
--- a/src/platform/prepared/wire.rs
+++ b/src/platform/prepared/wire.rs
@@ -24,6 +24,9 @@
 const RESPONDING_TARGET: &str = "x-instance-id";
 /// Header with the rest of the target's warm-up, in milliseconds.
 const WARMUP_MS: &str = "x-warmup-ms";
+/// Header of the store's responses with the number of times that it was restored from a
+/// copy.
+const STORE_ERA: &str = "store-era";
 
 /// Path of the directory, which returns the addresses that callers connect to.
 pub(crate) const DIRECTORY_PATH: &str = "/api/resolve";
@@ -82,6 +85,11 @@
     }
 }
 
+/// Era of the store that sent a response; 0 if it names none.
+pub(crate) fn store_era(headers: &HeaderMap) -> u64 {
+    number(headers, STORE_ERA).unwrap_or(0)
+}
+
 /// Appends the headers that only requests to targets have: the intended target and
 /// the time `left` until the deadline.
 pub(crate) fn write_target_headers(buf: &mut BytesMut, target: &str, left: Duration) {
