--- a/standin/src/prepared/store.rs
+++ b/standin/src/prepared/store.rs
@@ -56,8 +56,14 @@
     lease: u64,
 }
 
+/// Copy of a store's items, from which it can be restored.
+#[derive(Debug, Clone)]
+pub struct StoreCopy(Data);
+
 #[derive(Debug, Clone, Default)]
 struct Data {
+    /// Number of times that the store was restored from a copy.
+    era: u64,
     revision: u64,
     items: IndexMap<String, Item>,
     leases: IndexMap<u64, (Duration, Instant)>,
@@ -143,6 +149,26 @@
         });
     }
 
+    /// Copies the items, to restore them later.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.data.get())
+    }
+
+    /// Restores the items and the revision of an earlier copy. What was written since is
+    /// lost, and its revisions are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        self.state.write(|data| {
+            let era = data.era + 1;
+            let calls = std::mem::take(&mut data.calls);
+            *data = Data {
+                era,
+                calls,
+                ..copy.0.clone()
+            };
+        });
+    }
+
     /// Expires every lease now and removes the items attached to it.
     pub fn expire_leases(&self) {
         self.state.write(|data| {
@@ -259,7 +285,7 @@
         *data.calls.entry(kind.to_owned()).or_default() += 1;
         data.remove_expired_leases();
     });
-    let resp = match (&method, kind) {
+    let mut resp = match (&method, kind) {
         (&Method::GET, "kv-key") => read_key(state, &query),
         (&Method::GET, "kv-range") => read_range(state, faults, &query),
         (&Method::GET, "kv-watch") => watch(state, faults, &query).await,
@@ -278,6 +304,8 @@
     if lost {
         std::future::pending::<()>().await;
     }
+    let era = state.data.change(|data| data.era);
+    resp.headers_mut().insert("store-era", era.into());
     Some(resp)
 }
 
@@ -363,7 +391,7 @@
     loop {
         let changed = state.changed.notified();
         let (is_compacted, events, revision) = state.data.change(|data| {
-            let is_compacted = after < data.compacted;
+            let is_compacted = after < data.compacted || after > data.revision;
             (is_compacted, events(data, prefix, after), data.revision)
         });
         if is_compacted {
