Order records by the store's era and revision

Callers saw: a request refused with 404 by an older configuration, though the newer one was confirmed. Cause: a store that returns from a copy gives revisions out again. Replica, watch and peers compared revisions alone, so what was confirmed below a known revision was taken for old news, or skipped by a watch that continued above it; a complete read left the position where it was, so each next watch failed and everything was read again at once.

Change: positions are (era, revision), by the header Store-Era; a watch never crosses eras; a complete read of a later era replaces all records but a newer configuration, which peers of an earlier era still give. The era follows the present messages between instances, where earlier releases ignore it. Why it works: within an era revisions only rise, and what two eras share is only the configuration, which has its own version.

--- a/src/entry/digest/tests.rs
+++ b/src/entry/digest/tests.rs
@@ -106,6 +106,7 @@
             record: Some(record),
         });
     let delta = Delta {
+        era: 0,
         revision: 100,
         complete: true,
         changes: changes.collect(),
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -10,6 +10,7 @@
 use super::message::{Heartbeat, MAX_RELAYED, RelayedStatus};
 use super::model::Target;
 use super::placement::index_for_draw;
+use super::replica::Position;
 use super::watchers::{StoreAccess, Watcher};
 use crate::names::{TargetId, ZoneName};
 use crate::units::Time;
@@ -69,12 +70,26 @@
     pub leaving: bool,
     /// State of its access to the store.
     pub store: StoreAccess,
+    /// Era of `revision`. It is encoded apart, since earlier releases don't know it.
+    #[serde(skip)]
+    pub era: u64,
     /// Revision of the newest change in its replica.
     pub revision: u64,
     /// Version of its configuration; 0 before the first one.
     pub version: u64,
 }
 
+impl InstanceStatus {
+    /// Position of the newest change in its replica.
+    #[must_use]
+    pub fn position(&self) -> Position {
+        Position {
+            era: self.era,
+            revision: self.revision,
+        }
+    }
+}
+
 /// Whether the next heartbeat contains significant changes, by receiver.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PendingUpdates {
--- a/src/entry/message.rs
+++ b/src/entry/message.rs
@@ -9,7 +9,7 @@
 
 use super::load::Load;
 use super::members::InstanceStatus;
-use super::replica::Delta;
+use super::replica::{Delta, Position};
 use crate::dispatch::quarantine::Case;
 use crate::names::ZoneName;
 
@@ -126,19 +126,31 @@
     Changes(Delta),
 }
 
-/// Encodes a heartbeat to a peer in the same zone. The statuses follow it, where earlier
-/// releases ignore them.
+/// What follows a heartbeat and its relayed statuses, where earlier releases ignore it.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct HeartbeatExtension {
+    /// Era of the revision in the sender's status.
+    era: u64,
+    /// Eras of the revisions in the relayed statuses, in their order.
+    relayed_eras: Vec<u64>,
+}
+
+/// Encodes a heartbeat. Statuses of other zones' instances, for peers in the same zone,
+/// and fields that earlier releases don't know follow it.
 ///
 /// # Errors
 /// Never for the types here; otherwise the codec's error.
-pub fn encode_with_relayed(
-    heartbeat: &Datagram,
+pub fn encode_heartbeat(
+    heartbeat: Heartbeat,
     relayed: &[RelayedStatus],
 ) -> Result<Vec<u8>, postcard::Error> {
-    let mut bytes = encode(heartbeat)?;
-    if !relayed.is_empty() {
-        bytes.extend(postcard::to_stdvec(relayed)?);
-    }
+    let extension = HeartbeatExtension {
+        era: heartbeat.status.era,
+        relayed_eras: relayed.iter().map(|relayed| relayed.status.era).collect(),
+    };
+    let mut bytes = encode(&Datagram::Heartbeat(heartbeat))?;
+    bytes.extend(postcard::to_stdvec(relayed)?);
+    bytes.extend(postcard::to_stdvec(&extension)?);
     Ok(bytes)
 }
 
@@ -147,29 +159,82 @@
 /// # Errors
 /// The bytes are not a valid datagram.
 pub fn decode_datagram(bytes: &[u8]) -> Result<(Datagram, Vec<RelayedStatus>), postcard::Error> {
-    let (datagram, rest) = postcard::take_from_bytes(bytes)?;
-    let relayed = if rest.is_empty() {
-        Vec::new()
+    let (mut datagram, rest) = postcard::take_from_bytes(bytes)?;
+    let (mut relayed, rest): (Vec<RelayedStatus>, &[u8]) = if rest.is_empty() {
+        (Vec::new(), rest)
     } else {
-        postcard::from_bytes(rest)?
+        postcard::take_from_bytes(rest)?
     };
+    if !rest.is_empty() {
+        let extension: HeartbeatExtension = postcard::from_bytes(rest)?;
+        if let Datagram::Heartbeat(heartbeat) = &mut datagram {
+            heartbeat.status.era = extension.era;
+        }
+        for (relayed, era) in relayed.iter_mut().zip(extension.relayed_eras) {
+            relayed.status.era = era;
+        }
+    }
     Ok((datagram, relayed))
 }
 
-/// Encodes a message.
+/// Encodes a request for the changes after a position. The era follows the request, where
+/// earlier releases ignore it.
 ///
 /// # Errors
 /// Never for the types here; otherwise the codec's error.
-pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, postcard::Error> {
-    postcard::to_stdvec(message)
+pub fn encode_request(position: Position) -> Result<Vec<u8>, postcard::Error> {
+    encode_with_era(&PeerRequest::Changes(position.revision), position.era)
+}
+
+/// Decodes a request for changes; the era is 0 in one of an earlier release.
+///
+/// # Errors
+/// The bytes are not a valid request.
+pub fn decode_request(bytes: &[u8]) -> Result<Position, postcard::Error> {
+    let (PeerRequest::Changes(revision), era) = decode_with_era(bytes)?;
+    Ok(Position { era, revision })
+}
+
+/// Encodes the response to a request for changes; see [`encode_request`].
+///
+/// # Errors
+/// Never for the types here; otherwise the codec's error.
+pub fn encode_response(delta: Delta) -> Result<Vec<u8>, postcard::Error> {
+    let era = delta.era;
+    encode_with_era(&PeerResponse::Changes(delta), era)
 }
 
-/// Decodes a message.
+/// Decodes the response to a request for changes.
 ///
 /// # Errors
-/// The bytes are not a valid encoding of `T`.
-pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, postcard::Error> {
-    postcard::from_bytes(bytes)
+/// The bytes are not a valid response.
+pub fn decode_response(bytes: &[u8]) -> Result<Delta, postcard::Error> {
+    let (PeerResponse::Changes(delta), era) = decode_with_era(bytes)?;
+    Ok(Delta { era, ..delta })
+}
+
+fn encode_with_era<T: Serialize>(message: &T, era: u64) -> Result<Vec<u8>, postcard::Error> {
+    let mut bytes = encode(message)?;
+    bytes.extend(encode(&era)?);
+    Ok(bytes)
+}
+
+fn decode_with_era<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<(T, u64), postcard::Error> {
+    let (message, rest) = postcard::take_from_bytes(bytes)?;
+    let era = if rest.is_empty() {
+        0
+    } else {
+        postcard::from_bytes(rest)?
+    };
+    Ok((message, era))
+}
+
+/// Encodes a message.
+///
+/// # Errors
+/// Never for the types here; otherwise the codec's error.
+pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, postcard::Error> {
+    postcard::to_stdvec(message)
 }
 
 #[cfg(test)]
--- a/src/entry/message/tests.rs
+++ b/src/entry/message/tests.rs
@@ -62,6 +62,7 @@
             ready: true,
             leaving: true,
             store: crate::entry::watchers::StoreAccess::Lost,
+            era: u64::MAX,
             revision: u64::MAX,
             version: u64::MAX,
         },
@@ -83,8 +84,82 @@
             MAX_CASES
         ],
     };
-    let heartbeat = Datagram::Heartbeat(heartbeat);
-    let bytes = encode(&heartbeat).unwrap();
+    let bytes = encode_heartbeat(heartbeat.clone(), &[]).unwrap();
     assert!(bytes.len() <= MAX_DATAGRAM, "{}", bytes.len());
-    assert_eq!(decode::<Datagram>(&bytes).unwrap(), heartbeat);
+    let decoded = decode_datagram(&bytes).unwrap();
+    assert_eq!(decoded, (Datagram::Heartbeat(heartbeat), Vec::new()));
+}
+
+fn heartbeat(era: u64) -> Heartbeat {
+    Heartbeat {
+        zone: "a".into(),
+        status: InstanceStatus {
+            era,
+            revision: 5,
+            ..InstanceStatus::default()
+        },
+        reports: vec![report()],
+        member: None,
+        cases: Vec::new(),
+    }
+}
+
+fn relayed(era: u64) -> RelayedStatus {
+    RelayedStatus {
+        address: ([10, 0, 0, 1], 7000).into(),
+        zone: "b".into(),
+        status: heartbeat(era).status,
+        age_ms: 7,
+    }
+}
+
+#[test]
+fn eras_are_decoded_with_their_statuses() {
+    let sent = [relayed(2), relayed(3)];
+    let bytes = encode_heartbeat(heartbeat(4), &sent).unwrap();
+    let decoded = decode_datagram(&bytes).unwrap();
+    assert_eq!(
+        decoded,
+        (Datagram::Heartbeat(heartbeat(4)), Vec::from(sent))
+    );
+    let position = Position {
+        era: 4,
+        revision: 9,
+    };
+    let bytes = encode_request(position).unwrap();
+    assert_eq!(decode_request(&bytes).unwrap(), position);
+    let delta = Delta {
+        era: 4,
+        revision: 9,
+        complete: true,
+        changes: Vec::new(),
+    };
+    let bytes = encode_response(delta.clone()).unwrap();
+    assert_eq!(decode_response(&bytes).unwrap(), delta);
+}
+
+#[test]
+fn messages_of_and_to_releases_without_eras_are_decoded() {
+    let datagram = Datagram::Heartbeat(heartbeat(0));
+    let mut earlier = encode(&datagram).unwrap();
+    assert_eq!(
+        decode_datagram(&earlier).unwrap(),
+        (datagram.clone(), vec![])
+    );
+    earlier.extend(encode(&[relayed(0)].as_slice()).unwrap());
+    assert_eq!(decode_datagram(&earlier).unwrap().1, [relayed(0)]);
+    let request = encode(&PeerRequest::Changes(9)).unwrap();
+    assert_eq!(decode_request(&request).unwrap().revision, 9);
+    // As earlier releases decode them.
+    let bytes = encode_heartbeat(heartbeat(4), &[relayed(2)]).unwrap();
+    let (decoded, rest) = postcard::take_from_bytes::<Datagram>(&bytes).unwrap();
+    assert_eq!(decoded, datagram);
+    let statuses: Vec<RelayedStatus> = postcard::from_bytes(rest).unwrap();
+    assert_eq!(statuses, [relayed(0)]);
+    let bytes = encode_request(Position {
+        era: 4,
+        revision: 9,
+    });
+    let request: PeerRequest = postcard::from_bytes(&bytes.unwrap()).unwrap();
+    assert_eq!(request, PeerRequest::Changes(9));
 }
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -9,9 +9,9 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use super::members::InstanceStatus;
-use super::message::{self, Datagram, MAX_DATAGRAM, MAX_FRAME, PeerRequest, PeerResponse};
+use super::message::{self, Datagram, MAX_DATAGRAM, MAX_FRAME};
 use super::probe::Prober;
-use super::replica::Delta;
+use super::replica::{Delta, Position};
 use super::shared::Shared;
 use crate::units::Time;
 
@@ -56,13 +56,12 @@
 pub(crate) fn send_heartbeats(shared: &Shared, socket: &UdpSocket, all: bool) {
     let now = shared.now();
     let due = shared.state().next_heartbeat(now, all);
-    let heartbeat = Datagram::Heartbeat(due.heartbeat);
     if !due.same_zone.is_empty() {
-        let encoded = message::encode_with_relayed(&heartbeat, &due.relayed);
+        let encoded = message::encode_heartbeat(due.heartbeat.clone(), &due.relayed);
         send_encoded(shared, socket, encoded, &due.same_zone);
     }
     if !due.other_zones.is_empty() {
-        let encoded = message::encode(&heartbeat);
+        let encoded = message::encode_heartbeat(due.heartbeat, &[]);
         send_encoded(shared, socket, encoded, &due.other_zones);
     }
 }
@@ -159,9 +158,9 @@
 
 async fn handle_request(shared: &Shared, mut stream: TcpStream) -> std::io::Result<()> {
     let bytes = read_frame(&mut stream).await?;
-    let PeerRequest::Changes(revision) = message::decode(&bytes).map_err(std::io::Error::other)?;
-    let delta = shared.state().replica.delta_since(revision);
-    write_frame(&mut stream, &PeerResponse::Changes(delta)).await?;
+    let position = message::decode_request(&bytes).map_err(std::io::Error::other)?;
+    let delta = shared.state().replica.delta_since(position);
+    write_frame(&mut stream, message::encode_response(delta)).await?;
     stream.shutdown().await
 }
 
@@ -185,7 +184,7 @@
             continue;
         }
         let peer = source.address;
-        match fetch_changes(peer, source.from_revision).await {
+        match fetch_changes(peer, source.from).await {
             Ok(delta) => {
                 let now = shared.now();
                 shared.state().apply(now, delta, "peer");
@@ -205,8 +204,8 @@
     address: SocketAddr,
     /// Whether it is in this instance's zone.
     same_zone: bool,
-    /// Revision after which changes are requested; 0 for everything.
-    from_revision: u64,
+    /// Position after which changes are requested; the default for everything.
+    from: Position,
 }
 
 /// A live peer with newer changes or a newer configuration, preferably in the same zone.
@@ -216,9 +215,10 @@
 /// one, so that an instance that has just started found none.
 fn newest_peer(shared: &Shared, now: Time, failed: &[SocketAddr]) -> Option<ChangeSource> {
     let state = shared.state();
-    let (revision, version) = (state.replica.content_revision(), state.status.version);
+    let (position, version) = (state.replica.content_position(), state.status.version);
     let zone = &state.settings.zone;
-    let is_newer = |status: &InstanceStatus| status.revision > revision || status.version > version;
+    let is_newer =
+        |status: &InstanceStatus| status.position() > position || status.version > version;
     let (address, member) = state
         .members
         .live(now)
@@ -229,42 +229,40 @@
             (
                 !failed.contains(address),
                 same_zone,
-                status.revision,
+                status.position(),
                 status.version,
             )
         })?;
-    let has_changes = member.status.revision > revision;
+    let has_changes = member.status.position() > position;
     Some(ChangeSource {
         address,
         same_zone: member.zone == *zone,
-        from_revision: if has_changes {
-            state.replica.revision()
+        from: if has_changes {
+            state.replica.position()
         } else {
-            0
+            Position::default()
         },
     })
 }
 
-/// Fetches the changes after `revision` from a peer.
-pub(crate) async fn fetch_changes(peer: SocketAddr, revision: u64) -> std::io::Result<Delta> {
+/// Fetches the changes after a position from a peer.
+async fn fetch_changes(peer: SocketAddr, from: Position) -> std::io::Result<Delta> {
     let exchange = async {
         let mut stream = TcpStream::connect(peer).await?;
-        write_frame(&mut stream, &PeerRequest::Changes(revision)).await?;
+        write_frame(&mut stream, message::encode_request(from)).await?;
         let bytes = read_frame(&mut stream).await?;
-        let PeerResponse::Changes(delta) =
-            message::decode(&bytes).map_err(std::io::Error::other)?;
-        Ok(delta)
+        message::decode_response(&bytes).map_err(std::io::Error::other)
     };
     tokio::time::timeout(EXCHANGE_TIMEOUT, exchange)
         .await
         .map_err(|_| std::io::Error::other("timed out"))?
 }
 
-async fn write_frame<T: serde::Serialize>(
+async fn write_frame(
     stream: &mut TcpStream,
-    message: &T,
+    encoded: Result<Vec<u8>, postcard::Error>,
 ) -> std::io::Result<()> {
-    let bytes = message::encode(message).map_err(std::io::Error::other)?;
+    let bytes = encoded.map_err(std::io::Error::other)?;
     let length = u32::try_from(bytes.len()).map_err(std::io::Error::other)?;
     let mut frame = length.to_be_bytes().to_vec();
     frame.extend_from_slice(&bytes);
--- a/src/entry/replica.rs
+++ b/src/entry/replica.rs
@@ -3,6 +3,10 @@
 //! Changes come from the store's watch or from peers, in any order and possibly more
 //! than once; each key keeps the record with its highest revision. A configuration is
 //! never replaced by an older version.
+//!
+//! When the store was restored from a copy, its revisions start again at an earlier one.
+//! They are comparable only within an era, which ends with each restore; a complete read
+//! of a later era replaces everything but a newer configuration.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -16,9 +20,21 @@
 /// go.
 const MAX_TOMBSTONES: usize = 512;
 
+/// Position in the store's history; later ones are greater.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct Position {
+    /// Number of times that the store was restored from a copy.
+    pub era: u64,
+    /// Revision of the store in that era.
+    pub revision: u64,
+}
+
 data! {
     /// Changes that bring a replica to a revision.
     pub struct Delta {
+        /// Era of the revisions. It is encoded apart, since earlier releases don't know it.
+        #[serde(skip)]
+        pub era: u64,
         /// Revision of the receiver after applying this.
         pub revision: u64,
         /// Whether `changes` contains every record, so that other keys are removed.
@@ -48,6 +64,7 @@
 /// Records of the store, with recent removals.
 #[derive(Debug, Clone, Default)]
 pub struct Replica {
+    era: u64,
     revision: u64,
     content_revision: u64,
     entries: IndexMap<Arc<str>, Entry>,
@@ -65,11 +82,23 @@
         self.revision
     }
 
-    /// Revision of the newest change in this copy. Unlike [`Self::revision`], it does
+    /// Position of the store up to which this copy is complete.
+    #[must_use]
+    pub fn position(&self) -> Position {
+        Position {
+            era: self.era,
+            revision: self.revision,
+        }
+    }
+
+    /// Position of the newest change in this copy. Unlike [`Self::position`], it does
     /// not advance with changes of keys that this copy leaves out.
     #[must_use]
-    pub fn content_revision(&self) -> u64 {
-        self.content_revision
+    pub fn content_position(&self) -> Position {
+        Position {
+            era: self.era,
+            revision: self.content_revision,
+        }
     }
 
     /// Revision of a key's record; `None` when there is none.
@@ -84,8 +113,18 @@
         self.configuration.as_ref()
     }
 
-    /// Applies changes up to `delta.revision` and returns their effects.
+    /// Applies changes up to `delta.revision` and returns their effects. Of an earlier era,
+    /// only a newer configuration is taken; of a later one, only a complete delta.
     pub fn apply(&mut self, delta: Delta) -> Vec<Applied> {
+        if delta.era < self.era {
+            return self.apply_earlier_era(delta).into_iter().collect();
+        }
+        if delta.era > self.era {
+            if !delta.complete {
+                return Vec::new();
+            }
+            self.start_era(&delta);
+        }
         let mut applied = Vec::new();
         if delta.complete {
             self.remove_missing(&delta, &mut applied);
@@ -98,10 +137,11 @@
         applied
     }
 
-    /// The changes that a peer at `revision` lacks.
+    /// The changes that a peer at `position` lacks.
     #[must_use]
-    pub fn delta_since(&self, revision: u64) -> Delta {
-        let complete = revision == 0 || revision < self.tombstones_from;
+    pub fn delta_since(&self, position: Position) -> Delta {
+        let Position { era, revision } = position;
+        let complete = era != self.era || revision == 0 || revision < self.tombstones_from;
         let from = if complete { 0 } else { revision };
         let records = self
             .entries
@@ -121,12 +161,46 @@
             record: None,
         }));
         Delta {
+            era: self.era,
             revision: self.revision,
             complete,
             changes,
         }
     }
 
+    /// Makes every record replaceable by those of a complete delta of a later era. The
+    /// configuration keeps its place in deltas to peers, unless the store has a newer one.
+    fn start_era(&mut self, delta: &Delta) {
+        self.era = delta.era;
+        self.revision = 0;
+        self.content_revision = 0;
+        self.tombstones.clear();
+        self.tombstones_from = delta.revision;
+        for entry in self.entries.values_mut() {
+            entry.revision = match entry.record {
+                Record::Configuration(_) => 1,
+                _ => 0,
+            };
+        }
+    }
+
+    /// Takes a configuration of an earlier era if it is newer than the present one: the store
+    /// lost it, and its writer will write it again.
+    fn apply_earlier_era(&mut self, delta: Delta) -> Option<Applied> {
+        delta.changes.into_iter().find_map(|change| {
+            let Some(Record::Configuration(configuration)) = change.record else {
+                return None;
+            };
+            let applied = self.update_configuration(configuration.clone())?;
+            let entry = Entry {
+                revision: self.revision,
+                record: Record::Configuration(configuration),
+            };
+            self.entries.insert(change.key, entry);
+            Some(applied)
+        })
+    }
+
     fn remove_missing(&mut self, delta: &Delta, applied: &mut Vec<Applied>) {
         let present: std::collections::HashSet<&str> =
             delta.changes.iter().map(|change| &*change.key).collect();
--- a/src/entry/replica/tests.rs
+++ b/src/entry/replica/tests.rs
@@ -32,12 +32,17 @@
 
 fn delta(revision: u64, complete: bool, changes: Vec<Change>) -> Delta {
     Delta {
+        era: 0,
         revision,
         complete,
         changes,
     }
 }
 
+fn position(revision: u64) -> Position {
+    Position { era: 0, revision }
+}
+
 /// A random sequence of puts and removals with rising revisions.
 fn history(u: &mut Unstructured<'_>) -> Result<Vec<Change>> {
     let mut changes = Vec::new();
@@ -87,7 +92,7 @@
         ahead.apply(delta(changes.len() as u64, false, changes.clone()));
         let mut behind = Replica::default();
         behind.apply(delta(known as u64, false, changes[..known].to_vec()));
-        behind.apply(ahead.delta_since(behind.revision()));
+        behind.apply(ahead.delta_since(behind.position()));
         assert_eq!(contents(&ahead), contents(&behind));
         assert_eq!(ahead.revision(), behind.revision());
         Ok(())
@@ -103,7 +108,7 @@
         let gone = if revision == 2 { "old" } else { "other" };
         replica.apply(delta(revision, false, vec![change(gone, revision, None)]));
     }
-    let all = replica.delta_since(1);
+    let all = replica.delta_since(position(1));
     assert!(all.complete);
     behind.apply(all);
     assert!(contents(&behind).is_empty());
@@ -125,7 +130,7 @@
     replica.apply(delta(7, false, vec![change("c", 7, None)]));
     assert_eq!(replica.configuration().unwrap().version, 7);
     let mut peer = Replica::default();
-    peer.apply(replica.delta_since(0));
+    peer.apply(replica.delta_since(position(0)));
     assert_eq!(peer.configuration().unwrap().version, 7);
     replica.apply(put(8, 9));
     assert_eq!(replica.configuration().unwrap().version, 9);
@@ -151,5 +156,137 @@
     let mut replica = Replica::default();
     replica.apply(delta(3, false, vec![change("k", 3, Some(instance(1)))]));
     replica.apply(delta(8, false, Vec::new()));
-    assert_eq!((replica.revision(), replica.content_revision()), (8, 3));
+    assert_eq!(
+        (replica.position(), replica.content_position()),
+        (position(8), position(3))
+    );
+}
+
+#[test]
+fn a_complete_read_after_a_restore_replaces_records_with_higher_revisions() {
+    let mut replica = Replica::default();
+    replica.apply(delta(
+        10,
+        false,
+        vec![
+            change("lost", 9, Some(instance(9))),
+            change("c", 10, Some(configuration(7))),
+        ],
+    ));
+    let copy = vec![
+        change("kept", 2, Some(instance(2))),
+        change("c", 3, Some(configuration(6))),
+    ];
+    replica.apply(Delta {
+        era: 1,
+        ..delta(6, true, copy)
+    });
+    assert_eq!(
+        replica.position(),
+        Position {
+            era: 1,
+            revision: 6
+        }
+    );
+    assert_eq!(replica.revision_of("lost"), None);
+    assert_eq!(replica.configuration().unwrap().version, 7);
+    let again = vec![
+        change("lost", 7, Some(instance(9))),
+        change("c", 8, Some(configuration(8))),
+    ];
+    replica.apply(Delta {
+        era: 1,
+        ..delta(8, false, again)
+    });
+    assert_eq!(replica.revision_of("lost"), Some(7));
+    assert_eq!(replica.configuration().unwrap().version, 8);
+}
+
+#[test]
+fn records_of_an_earlier_era_are_ignored_but_for_a_newer_configuration() {
+    let mut replica = Replica::default();
+    replica.apply(Delta {
+        era: 2,
+        ..delta(5, true, vec![change("c", 4, Some(configuration(6)))])
+    });
+    let earlier = vec![
+        change("stale", 30, Some(instance(1))),
+        change("c", 31, Some(configuration(7))),
+    ];
+    replica.apply(Delta {
+        era: 1,
+        ..delta(40, true, earlier)
+    });
+    assert_eq!(replica.revision_of("stale"), None);
+    assert_eq!(replica.configuration().unwrap().version, 7);
+    let mut peer = Replica::default();
+    peer.apply(replica.delta_since(Position::default()));
+    assert_eq!(peer.configuration().unwrap().version, 7);
+}
+
+/// A store that is restored from copies; instances read it, watch it and ask each other.
+#[test]
+fn instances_agree_with_a_restored_store_once_they_have_read_it() {
+    arbtest::arbtest(|u| {
+        let mut store = Replica::default();
+        let mut instances = [Replica::default(), Replica::default()];
+        let (mut copy, mut revision, mut version) = (store.clone(), 0, 0);
+        for _ in 0..u.int_in_range(1..=40_u8)? {
+            let index = u.choose_index(2)?;
+            match u.int_in_range(0..=6_u8)? {
+                0 => copy = store.clone(),
+                1 => {
+                    let era = store.era + 1;
+                    store = Replica {
+                        era,
+                        ..copy.clone()
+                    };
+                    revision = store.revision;
+                }
+                2 => {
+                    let (read, other) = (u.choose_index(2)?, index);
+                    let delta = instances[other].delta_since(instances[read].position());
+                    instances[read].apply(delta);
+                }
+                3 => {
+                    let complete = store.delta_since(Position::default());
+                    instances[index].apply(complete);
+                }
+                _ => {
+                    revision += 1;
+                    let key = format!("k{}", u.int_in_range(0..=3_u8)?);
+                    let mut one = change(&key, revision, None);
+                    match u.int_in_range(0..=2_u8)? {
+                        0 => {
+                            version += 1;
+                            one = change("c", revision, Some(configuration(version)));
+                        }
+                        1 => one.record = Some(instance(u.int_in_range(1..=9_u16)?)),
+                        _ => {}
+                    }
+                    let era = store.era;
+                    store.apply(Delta {
+                        era,
+                        ..delta(revision, false, vec![one])
+                    });
+                }
+            }
+        }
+        let in_force = instances.clone().map(|instance| {
+            let configuration = instance.configuration().cloned();
+            configuration.map_or(0, |configuration| configuration.version)
+        });
+        for (instance, in_force) in instances.iter_mut().zip(in_force) {
+            instance.apply(store.delta_since(Position::default()));
+            let mut known = contents(instance);
+            let mut expected = contents(&store);
+            known.retain(|(key, _)| &**key != "c");
+            expected.retain(|(key, _)| &**key != "c");
+            assert_eq!(known, expected);
+            let configuration = instance.configuration().cloned();
+            let version = configuration.map_or(0, |configuration| configuration.version);
+            assert!(version >= in_force, "{version} after {in_force}");
+        }
+        Ok(())
+    });
 }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -183,7 +183,8 @@
             log_change(change, self.replica.revision(), source, lapsed);
             self.apply_change(now, change, lapsed);
         }
-        self.status.revision = self.replica.content_revision();
+        let position = self.replica.content_position();
+        (self.status.era, self.status.revision) = (position.era, position.revision);
         !applied.is_empty()
     }
 
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -85,8 +85,8 @@
                 backoff = Backoff::new();
                 set_access(&shared, StoreAccess::Watching);
             }
-            Err(StoreError::Compacted) => {
-                tracing::info!("store history compacted; reading everything again");
+            Err(err @ (StoreError::Compacted | StoreError::Restored)) => {
+                tracing::info!(cause = %err, "reading everything again");
                 // A watch cannot bring what a stale read lacks once the history is
                 // compacted.
                 pending_read = Some(ReadConsistency::Linearizable);
@@ -130,13 +130,13 @@
 }
 
 async fn watch(shared: &Shared, store_client: &mut StoreClient) -> Result<(), StoreError> {
-    let (revision, wait, batch_delay) = {
+    let (position, wait, batch_delay) = {
         let state = shared.state();
         let wait = watch_timeout(state.watches(), &state.tuning);
-        (state.replica.revision(), wait, state.tuning.batch_delay)
+        (state.replica.position(), wait, state.tuning.batch_delay)
     };
     let change_set = tokio::select! {
-        change_set = store_client.watch(revision, wait) => change_set?,
+        change_set = store_client.watch(position, wait) => change_set?,
         () = watch_stalled(shared) => {
             store_client.disconnect();
             return Err(StoreError::OutcomeUnknown("peers have newer changes than this watch".into()));
@@ -164,8 +164,8 @@
 /// Returns once peers have had changes for [`STALL_TIMEOUT`] that the own watch has not
 /// delivered.
 async fn watch_stalled(shared: &Shared) {
-    let start = shared.state().replica.content_revision();
-    while shared.state().replica.content_revision() == start {
+    let start = shared.state().replica.content_position();
+    while shared.state().replica.content_position() == start {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     tokio::time::sleep(STALL_TIMEOUT).await;
@@ -200,6 +200,7 @@
     shared.record_rejected(change_set.rejected);
     let changes: Vec<Change> = change_set.changes;
     let delta = Delta {
+        era: change_set.era,
         revision: change_set.revision,
         complete,
         changes,
@@ -211,12 +212,13 @@
 
 /// Logs a result of the store that lies before what this instance already has.
 fn log_position(shared: &Shared, change_set: &ChangeSet, complete: bool) {
-    let known_revision = shared.state().replica.revision();
-    if change_set.revision < known_revision {
+    let known = shared.state().replica.position();
+    if change_set.revision < known.revision {
         tracing::warn!(
             era = change_set.era,
             revision = change_set.revision,
-            known_revision,
+            known_era = known.era,
+            known_revision = known.revision,
             complete,
             "store revision went back"
         );
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -1,5 +1,6 @@
 //! Client of the platform's key-value store.
 
+use std::cmp::Ordering;
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,6 +14,7 @@
 
 use super::{record, wire};
 use crate::entry::model::Change;
+use crate::entry::replica::Position;
 use crate::http1::client::{Conn, ExchangeError, OutgoingRequest, Response};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -32,6 +34,9 @@
     /// The changes that a watch asked for are compacted; everything must be read again.
     #[display("the requested changes are compacted")]
     Compacted,
+    /// The store was restored from a copy since the position that a watch started from.
+    #[display("the store was restored from a copy")]
+    Restored,
     /// The key is not at the expected revision.
     #[display("the key is not at the expected revision")]
     Conflict,
@@ -96,7 +101,8 @@
     }
 
     /// Reads all records, page by page; the revision is that of the first page. A read
-    /// that may be stale costs a tenth of a linearizable one.
+    /// that may be stale costs a tenth of a linearizable one. If the store is restored
+    /// between two pages, the result is [`StoreError::Restored`].
     pub(crate) async fn read_all(
         &mut self,
         consistency: ReadConsistency,
@@ -114,7 +120,10 @@
                 percent_encode(&after)
             );
             let Answer { era, body: page } = self.get::<Page>("range", &path, CALL_TIMEOUT).await?;
-            let (_, revision) = *first.get_or_insert((era, page.store_revision));
+            let (first_era, revision) = *first.get_or_insert((era, page.store_revision));
+            if era != first_era {
+                return Err(StoreError::Restored);
+            }
             if let Some(last) = page.items.last() {
                 after.clone_from(&last.key);
             }
@@ -131,17 +140,29 @@
         self.conn = None;
     }
 
-    /// Waits for changes after `revision`; the result has none if none came within `wait`.
+    /// Waits for changes after `position`; the result has none if none came within `wait`.
+    /// In a later era, the result is [`StoreError::Restored`]: the changes after that
+    /// revision are then not all that the position lacks.
     pub(crate) async fn watch(
         &mut self,
-        revision: u64,
+        position: Position,
         wait: Duration,
     ) -> Result<ChangeSet, StoreError> {
+        let revision = position.revision;
         let wait_ms = wait.as_millis();
         let path = format!("/api/kv-watch?prefix=&after={revision}&wait_ms={wait_ms}");
         let Answer { era, body: events } = self
             .get::<Events>("watch", &path, wait + WATCH_MARGIN)
             .await?;
+        match era.cmp(&position.era) {
+            Ordering::Equal => {}
+            Ordering::Greater => return Err(StoreError::Restored),
+            Ordering::Less => {
+                return Err(StoreError::OutcomeUnknown(
+                    "the store is in an earlier era than its records".into(),
+                ));
+            }
+        }
         Ok(ChangeSet::decode(events.events, era, events.store_revision))
     }
 
--- a/src/platform/prepared/store/tests.rs
+++ b/src/platform/prepared/store/tests.rs
@@ -26,6 +26,10 @@
     .into_bytes()
 }
 
+fn position(revision: u64) -> Position {
+    Position { era: 0, revision }
+}
+
 fn keys(set: &ChangeSet) -> Vec<&str> {
     set.changes.iter().map(|change| &*change.key).collect()
 }
@@ -56,7 +60,7 @@
         .revision;
     store.put("servers/two", &target("a"));
     store.remove("servers/one");
-    let set = client.watch(from, WAIT).await.unwrap();
+    let set = client.watch(position(from), WAIT).await.unwrap();
     assert_eq!(keys(&set), ["servers/two", "servers/one"]);
     assert!(set.changes[0].record.is_some());
     assert_eq!(set.changes[1].record, None);
@@ -89,7 +93,7 @@
 async fn an_invalid_configuration_changes_nothing() {
     let (store, mut client) = setup().await;
     store.put("op/config", br#"{"version":"r7"}"#);
-    let set = client.watch(0, WAIT).await.unwrap();
+    let set = client.watch(position(0), WAIT).await.unwrap();
     assert!(set.changes.is_empty(), "{set:?}");
     assert_eq!(set.rejected.len(), 1);
     assert_eq!(set.revision, 1);
@@ -130,6 +134,7 @@
         Ok(_) => "done",
         Err(StoreError::Refused(_)) => "refused",
         Err(StoreError::Compacted) => "gone",
+        Err(StoreError::Restored) => "restored",
         Err(StoreError::Conflict) => "conflict",
         Err(StoreError::OutcomeUnknown(_)) => "unknown",
         Err(StoreError::Malformed(_)) => "malformed",
@@ -161,7 +166,7 @@
     let (store, mut client) = setup().await;
     store.put("k", b"v");
     store.compact();
-    assert_eq!(kind(&client.watch(0, WAIT).await), "gone");
+    assert_eq!(kind(&client.watch(position(0), WAIT).await), "gone");
 }
 
 #[tokio::test]
@@ -177,6 +182,28 @@
         .await
         .unwrap();
     assert_eq!(fresh.changes.len(), 2);
-    let missed = client.watch(stale.revision, WAIT).await.unwrap();
+    let missed = client.watch(position(stale.revision), WAIT).await.unwrap();
     assert_eq!(keys(&missed), ["servers/new"]);
 }
+
+#[tokio::test]
+async fn a_watch_of_a_restored_store_fails_even_if_it_has_that_revision_again() {
+    let (store, mut client) = setup().await;
+    let copy = store.copy();
+    store.put("servers/lost", &target("a"));
+    let start = client
+        .read_all(ReadConsistency::Linearizable)
+        .await
+        .unwrap();
+    let start = Position {
+        era: start.era,
+        revision: start.revision,
+    };
+    store.restore(&copy);
+    let result = client.watch(start, WAIT).await;
+    assert!(matches!(result, Err(StoreError::Compacted)), "{result:?}");
+    store.put("servers/one", &target("a"));
+    store.put("servers/two", &target("a"));
+    let result = client.watch(start, WAIT).await;
+    assert!(matches!(result, Err(StoreError::Restored)), "{result:?}");
+}
