Keep what is known of targets and evacuations when the store returns from a copy

Cause: the copy was believed over what this instance knew. A target that had left and was ready in the copy got requests; a zone whose evacuation the copy lacks got requests; a live target that the copy lacks was dropped at once. Evidence: tests/entry a_target_that_left_and_is_ready_in_a_restored_copy_gets_no_requests and a_zone_whose_evacuation_a_restored_copy_lacks_gets_no_requests failed on the commit before; a_target_that_a_restored_copy_lacks_stays_in_use_until_it_is_written_again fails with the new rule taken out (503).

Change: runs that left are remembered (the last 1,024); a record of the first read after a restore that contradicts this counts as removed until it is written again; targets that the copy lacks are kept as after an outage, evacuations for 5 s. Why it works: writers write again, and a write of the new era has a higher revision than the read.

Result: the three tests pass.

--- a/src/entry/replica.rs
+++ b/src/entry/replica.rs
@@ -101,6 +101,12 @@
         }
     }
 
+    /// Whether a delta is the first one after a restore of the store.
+    #[must_use]
+    pub fn is_restored_by(&self, delta: &Delta) -> bool {
+        self.revision > 0 && delta.complete && delta.era > self.era
+    }
+
     /// Revision of a key's record; `None` when there is none.
     #[must_use]
     pub fn revision_of(&self, key: &str) -> Option<u64> {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -169,15 +169,27 @@
     }
 
     /// Applies changes of the store; returns whether anything changed.
-    pub(crate) fn apply(&mut self, now: Time, delta: Delta, source: &str) -> bool {
+    pub(crate) fn apply(&mut self, now: Time, mut delta: Delta, source: &str) -> bool {
+        let restored = self.replica.is_restored_by(&delta);
+        if restored {
+            tracing::warn!(
+                known = ?self.replica.position(),
+                era = delta.era,
+                revision = delta.revision,
+                source,
+                "store was restored from a copy"
+            );
+            self.remove_outdated(now, &mut delta);
+        }
         let applied = self.replica.apply(delta);
         let after_outage = now < self.recovering_until;
         let lapsed_services = self.targets.lapsed_services(&applied);
         for change in &applied {
             let lapsed = match change {
                 Applied::Removed(_, Record::Target(target)) => {
-                    after_outage || lapsed_services.contains(&target.service)
+                    restored || after_outage || lapsed_services.contains(&target.service)
                 }
+                Applied::Removed(_, Record::Evacuation(_)) => restored,
                 _ => false,
             };
             log_change(change, self.replica.revision(), source, lapsed);
@@ -188,6 +200,20 @@
         !applied.is_empty()
     }
 
+    /// Turns the records of a copy that are older than what is known here into removals, so
+    /// that they count only once they are written again.
+    fn remove_outdated(&self, now: Time, delta: &mut Delta) {
+        for change in &mut delta.changes {
+            if let Some(Record::Target(target)) = &change.record
+                && self.targets.is_outdated(now, target)
+            {
+                tracing::info!(key = &*change.key, "record of the copy is outdated");
+                change.record = None;
+                change.revision = delta.revision;
+            }
+        }
+    }
+
     fn apply_change(&mut self, now: Time, change: &Applied, lapsed: bool) {
         if let Applied::Put(key, _) | Applied::Removed(key, _) = change {
             self.rejected.swap_remove(key);
@@ -209,6 +235,9 @@
             },
             Applied::Removed(key, record) => match record {
                 Record::Target(target) => self.targets.remove(now, &target.id, lapsed),
+                Record::Evacuation(zone) if lapsed => {
+                    self.targets.retain_evacuation(now, zone.clone());
+                }
                 Record::Evacuation(zone) => self.targets.set_evacuated(zone.clone(), false),
                 Record::Instance(_) => {
                     self.registered.swap_remove(key);
@@ -509,6 +538,9 @@
             registered.values().any(|known| known == address)
         });
         self.quarantine.remove_expired(now);
+        for zone in self.targets.end_lost_evacuations(now) {
+            tracing::info!(%zone, "evacuation was not written again; ended");
+        }
         self.targets.drop_removed(now)
     }
 
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -26,6 +26,11 @@
 /// Time for which a target whose lease expired during a store outage is kept. Live
 /// targets register again within two seconds of the store's return.
 const LAPSED_RETENTION: Duration = Duration::from_millis(2200);
+/// Time for which a zone stays evacuated after the store returned from a copy without its
+/// evacuation, until the operator writes it again.
+const EVACUATION_RETENTION: Duration = Duration::from_secs(5);
+/// Runs of targets that left which are remembered: those of some minutes.
+const MAX_DEPARTED: usize = 1024;
 /// Minimum number of targets of a service that are removed together by expired leases.
 /// A single target may just have left.
 const MIN_LAPSED: usize = 2;
@@ -294,6 +299,10 @@
     views: IndexMap<TargetId, TargetState>,
     by_key: IndexMap<u64, TargetId>,
     evacuated: IndexSet<ZoneName>,
+    /// Ends of evacuations that the store has lost.
+    evacuated_until: IndexMap<ZoneName, Time>,
+    /// Keys of the last runs that left, oldest first.
+    departed: IndexSet<u64>,
 }
 
 impl TargetTable {
@@ -314,10 +323,35 @@
         let id = view.target.id.clone();
         if let Some(earlier) = self.views.insert(id.clone(), view) {
             self.by_key.swap_remove(&earlier.key);
+            self.record_departed(earlier.key);
         }
+        self.departed.shift_remove(&key);
         self.by_key.insert(key, id);
     }
 
+    /// Whether a registration is older than what is known of the target: its run has left
+    /// or is leaving, or a later one has started.
+    #[must_use]
+    pub fn is_outdated(&self, now: Time, target: &Target) -> bool {
+        let key = target_key(&target.id, target.started_ms);
+        let is_outdated_by = |view: &TargetState| {
+            if view.key == key {
+                view.target.leaving && !target.leaving
+                    || view.removed_at.is_some_and(|at| now >= at)
+            } else {
+                view.target.started_ms > target.started_ms
+            }
+        };
+        self.departed.contains(&key) || self.views.get(&target.id).is_some_and(is_outdated_by)
+    }
+
+    fn record_departed(&mut self, run: u64) {
+        self.departed.insert(run);
+        while self.departed.len() > MAX_DEPARTED {
+            self.departed.shift_remove_index(0);
+        }
+    }
+
     /// The services of which at least half of the targets are removed at once. Targets
     /// leave a few at a time, so these leases expired while the store was unavailable.
     #[must_use]
@@ -365,6 +399,7 @@
         for id in &removed {
             if let Some(view) = self.views.swap_remove(id) {
                 self.by_key.swap_remove(&view.key);
+                self.record_departed(view.key);
             }
         }
         removed
@@ -372,6 +407,7 @@
 
     /// Sets whether a zone is evacuated and gets no requests.
     pub fn set_evacuated(&mut self, zone: ZoneName, on: bool) {
+        self.evacuated_until.swap_remove(&zone);
         if on {
             self.evacuated.insert(zone);
         } else {
@@ -379,6 +415,23 @@
         }
     }
 
+    /// Keeps a zone whose evacuation the store has lost evacuated for a while.
+    pub fn retain_evacuation(&mut self, now: Time, zone: ZoneName) {
+        let until = now.after(EVACUATION_RETENTION);
+        self.evacuated_until.insert(zone, until);
+    }
+
+    /// Ends the evacuations that the store has lost and that were not written again in
+    /// time; returns their zones.
+    pub fn end_lost_evacuations(&mut self, now: Time) -> Vec<ZoneName> {
+        let is_over = |(zone, until): (&ZoneName, &Time)| (now >= *until).then(|| zone.clone());
+        let over: Vec<ZoneName> = self.evacuated_until.iter().filter_map(is_over).collect();
+        for zone in &over {
+            self.set_evacuated(zone.clone(), false);
+        }
+        over
+    }
+
     /// The evacuated zones.
     #[must_use]
     pub fn evacuated(&self) -> &IndexSet<ZoneName> {
--- a/tests/entry_cluster/mod.rs
+++ b/tests/entry_cluster/mod.rs
@@ -385,7 +385,7 @@
         std::fs::write(path, text.replace(from, to)).unwrap();
     }
 
-    async fn wait_until<T, F: Future<Output = Option<T>>>(
+    pub async fn wait_until<T, F: Future<Output = Option<T>>>(
         &self,
         observe: impl Fn() -> F,
         is_met: impl Fn(&T) -> bool,
--- a/tests/entry_restore/mod.rs
+++ b/tests/entry_restore/mod.rs
@@ -1,5 +1,7 @@
 //! A store that returns from a copy some seconds old.
 
+use std::time::Duration;
+
 use standin::prepared::store::{Faults, Mode};
 
 use crate::entry_cluster::EntryCluster;
@@ -14,6 +16,13 @@
         }
     }
 
+    /// Waits until every instance has read the restored store.
+    async fn wait_for_restore(&self, instances: usize) {
+        for instance in 0..instances {
+            self.wait_for_log(instance, "store was restored", 1).await;
+        }
+    }
+
     fn set_store_mode(&self, mode: Mode) {
         self.store.faults.set(Faults {
             mode,
@@ -62,3 +71,72 @@
         cluster.wait_for_version(instance, 9).await;
     }
 }
+
+#[tokio::test]
+async fn a_target_that_left_and_is_ready_in_a_restored_copy_gets_no_requests() {
+    let cluster = EntryCluster::start(2, 3).await;
+    let copy = cluster.store.copy();
+    cluster.put_target(0, true);
+    cluster.remove_target(1);
+    for instance in 0..2 {
+        cluster.wait_for_targets(instance, 1).await;
+    }
+    cluster.store.restore(&copy);
+    cluster.wait_for_restore(2).await;
+    for number in 0..20 {
+        let id = format!("left-{number}");
+        let resp = cluster.get(number % 2, "/safe/x", &id).await;
+        assert!(resp.body.starts_with("t2 ran"), "{resp:?}");
+    }
+    // Written again, it is in use again.
+    cluster.put_target(1, false);
+    for instance in 0..2 {
+        cluster.wait_for_targets(instance, 2).await;
+    }
+}
+
+#[tokio::test]
+async fn a_target_that_a_restored_copy_lacks_stays_in_use_until_it_is_written_again() {
+    let cluster = EntryCluster::start(2, 1).await;
+    let copy = cluster.store.copy();
+    // Unnoticed by the instances.
+    cluster.set_store_mode(Mode::Silent);
+    cluster.remove_target(0);
+    let lacking = cluster.store.copy();
+    cluster.store.restore(&copy);
+    cluster.store.restore(&lacking);
+    cluster.set_store_mode(Mode::Serving);
+    cluster.wait_for_restore(2).await;
+    for instance in 0..2 {
+        let id = format!("kept-{instance}");
+        let resp = cluster.get(instance, "/safe/x", &id).await;
+        assert_eq!(resp.status, 200, "{resp:?}");
+    }
+    cluster.put_target(0, false);
+    // Longer than a target outlives a copy that lacks it.
+    tokio::time::sleep(Duration::from_millis(2600)).await;
+    let resp = cluster.get(0, "/safe/x", "written-again").await;
+    assert_eq!(resp.status, 200, "{resp:?}");
+}
+
+#[tokio::test]
+async fn a_zone_whose_evacuation_a_restored_copy_lacks_gets_no_requests() {
+    let cluster = EntryCluster::start(2, 2).await;
+    let copy = cluster.store.copy();
+    cluster.store.put("op/evacuate/a", b"{}");
+    for instance in 0..2 {
+        cluster.wait_for_log(instance, "op/evacuate/a", 1).await;
+    }
+    cluster.store.restore(&copy);
+    cluster.wait_for_restore(2).await;
+    for instance in 0..2 {
+        let id = format!("evacuated-{instance}");
+        let resp = cluster.get(instance, "/safe/x", &id).await;
+        assert_eq!(resp.status, 503, "{resp:?}");
+    }
+    // Longer than an evacuation outlives a copy that lacks it.
+    cluster.store.put("op/evacuate/a", b"{}");
+    tokio::time::sleep(Duration::from_millis(5500)).await;
+    let resp = cluster.get(0, "/safe/x", "written-again").await;
+    assert_eq!(resp.status, 503, "{resp:?}");
+}
