Register again in each era of the store

Cause: an instance registered once, at its start; a store that returned from a copy lacked it, and instances that started later did not learn of it from the store. Evidence: tests/entry instances_that_a_restored_copy_lacks_register_again failed with the rule taken out (no registration after 30 s). Change: each second, an instance checks whether the era has changed, and registers if its record is missing. Why it works: a write is lost only with an era. Result: the test passes, with one write for each instance and era.

--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -28,6 +28,9 @@
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(100);
 /// Interval of checks for registrations of instances that were silent for long.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(60);
+/// Interval of checks whether the store was restored and may lack this instance's
+/// registration.
+const REGISTRATION_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which peers may have newer changes before this instance's own watch counts
 /// as stalled; changes are batched for a fraction of it.
 const STALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -234,8 +237,8 @@
     state.status.store = access;
 }
 
-/// Registers this instance and removes the registrations of instances that have been
-/// silent for long, until the process ends.
+/// Registers this instance, in each era of the store, and removes the registrations of
+/// instances that have been silent for long, until the process ends.
 pub(crate) async fn register(shared: Arc<Shared>) {
     let mut store_client = new_store_client(&shared);
     let registration = {
@@ -247,17 +250,30 @@
     };
     let key = record::registration_key(registration.address);
     let value = record::registration_value(&registration);
-    ensure_registered(&shared, &mut store_client, &key, &value).await;
+    let mut cleaned_up = shared.now();
+    let mut registered_era = None;
     loop {
-        tokio::time::sleep(CLEANUP_INTERVAL).await;
-        for (key, revision) in shared.stale_registrations() {
-            match store_client.remove_if(&key, revision).await {
-                Ok(()) => {
-                    tracing::info!(key = &*key, "registration of a silent instance removed");
-                }
-                Err(err) => {
-                    tracing::info!(key = &*key, %err, "failed to remove the registration of a silent instance");
-                }
+        let era = shared.state().replica.position().era;
+        if registered_era != Some(era) {
+            ensure_registered(&shared, &mut store_client, &key, &value).await;
+            registered_era = Some(era);
+        }
+        if shared.now().since(cleaned_up) >= CLEANUP_INTERVAL {
+            cleaned_up = shared.now();
+            remove_stale_registrations(&shared, &mut store_client).await;
+        }
+        tokio::time::sleep(REGISTRATION_CHECK_INTERVAL).await;
+    }
+}
+
+async fn remove_stale_registrations(shared: &Shared, store_client: &mut StoreClient) {
+    for (key, revision) in shared.stale_registrations() {
+        match store_client.remove_if(&key, revision).await {
+            Ok(()) => {
+                tracing::info!(key = &*key, "registration of a silent instance removed");
+            }
+            Err(err) => {
+                tracing::info!(key = &*key, %err, "failed to remove the registration of a silent instance");
             }
         }
     }
--- a/tests/entry_restore/mod.rs
+++ b/tests/entry_restore/mod.rs
@@ -6,6 +6,8 @@
 
 use crate::entry_cluster::EntryCluster;
 
+/// Prefix of the keys with which instances register.
+const INSTANCE_PREFIX: &str = "entries/";
 /// Records that are written to raise the revision of the store.
 const FILLER_WRITES: u32 = 20;
 
@@ -140,3 +142,24 @@
     let resp = cluster.get(0, "/safe/x", "written-again").await;
     assert_eq!(resp.status, 503, "{resp:?}");
 }
+
+#[tokio::test]
+async fn instances_that_a_restored_copy_lacks_register_again() {
+    let cluster = EntryCluster::start(3, 1).await;
+    let registered = || {
+        let keys = cluster.store.keys();
+        let is_instance = |key: &&String| key.starts_with(INSTANCE_PREFIX);
+        keys.iter().filter(is_instance).count()
+    };
+    let all_registered =
+        || cluster.wait_until(|| async { Some(registered()) }, |known| *known == 3);
+    all_registered().await;
+    cluster.set_store_mode(Mode::Silent);
+    cluster.store.remove_prefix(INSTANCE_PREFIX);
+    let lacking = cluster.store.copy();
+    cluster.store.restore(&lacking);
+    cluster.set_store_mode(Mode::Serving);
+    all_registered().await;
+    // One write registers each instance, before the restore and after it.
+    assert_eq!(cluster.store.calls("kv-txn"), 6);
+}
