Log which requests a crash was attributed to, and what peers tell of crashes

Change: the fingerprint in the line of a failed attempt; one line for a crash with the calls that broke off there and the requests it was attributed to; one when a peer's report raises a count; one when a request is blocked. No decision changes.

--- a/src/dispatch/quarantine.rs
+++ b/src/dispatch/quarantine.rs
@@ -169,6 +169,19 @@
         before.is_some_and(|before| before != start)
     }
 
+    /// Number of calls that broke off on a target and were not attributed to a crash yet.
+    #[must_use]
+    pub fn broken_calls(&self, target: SocketAddr) -> usize {
+        self.broken_calls.get(&target).map_or(0, Vec::len)
+    }
+
+    /// Number of crashes attributed to a request.
+    #[must_use]
+    pub fn crashes(&self, fingerprint: Fingerprint) -> u32 {
+        let record = self.records.get(&fingerprint);
+        record.map_or(0, |record| record.deaths)
+    }
+
     /// Attributes a target's crash to the calls that broke off on it.
     ///
     /// Returns the records of the requests that it was attributed to.
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -392,6 +392,7 @@
         } else {
             tracing::info!(
                 request = &*outbound.id,
+                %fingerprint,
                 target = %choice.id,
                 address = %choice.address,
                 fact = ?outcome,
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -165,6 +165,11 @@
         let now = self.shared.now();
         let status = self.shared.state().quarantine.status(now, self.fingerprint);
         if status == QuarantineStatus::Blocked {
+            tracing::info!(
+                request = &*self.outbound.id,
+                fingerprint = %self.fingerprint,
+                "blocked: the request has crashed targets"
+            );
             return Err(Outcome::Quarantined);
         }
         Ok(())
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -409,9 +409,19 @@
         let Some(address) = self.targets.address_by_key(report.target) else {
             return;
         };
-        for case in self.quarantine.record_crash(now, address) {
+        let broken_calls = self.quarantine.broken_calls(address);
+        let cases = self.quarantine.record_crash(now, address);
+        if broken_calls > 0 {
             tracing::warn!(
-                request = %case.fingerprint,
+                target_address = %address,
+                broken_calls,
+                attributed = cases.len(),
+                "target crashed while it had requests"
+            );
+        }
+        for case in cases {
+            tracing::warn!(
+                fingerprint = %case.fingerprint,
                 deaths = case.deaths,
                 target_address = %address,
                 "request was in flight when its target crashed"
@@ -520,7 +530,18 @@
             self.record_crash_if_unreachable(now, report);
         }
         for case in &heartbeat.cases {
+            let before = self.quarantine.crashes(case.fingerprint);
             self.quarantine.merge(now, case);
+            let deaths = self.quarantine.crashes(case.fingerprint);
+            if deaths > before {
+                tracing::info!(
+                    fingerprint = %case.fingerprint,
+                    peer = %from,
+                    before,
+                    deaths,
+                    "crashes reported by a peer"
+                );
+            }
         }
     }
 
