--- a/standin/src/prepared/target.rs
+++ b/standin/src/prepared/target.rs
@@ -9,6 +9,8 @@
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use serde_json::json;
+use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::faults::Shared;
 use crate::http::{self as web, Body, Server};
@@ -51,6 +53,9 @@
     /// Requests that were shed at their first arrival, shared by some targets; `None` if
     /// that is not done.
     pub shed_first: Option<Shared<Vec<String>>>,
+    /// Time for which the target is down after it began to run a request whose path
+    /// contains `crash`; zero if such requests run like others.
+    pub crash_duration: Duration,
 }
 
 /// Counts of the requests that a target received, by their identifiers.
@@ -68,6 +73,8 @@
     pub probes: u32,
     /// Number of requests whose body did not arrive whole.
     pub broken_bodies: u32,
+    /// Number of crashes.
+    pub crashes: u32,
 }
 
 /// A running target; it stops when it is dropped.
@@ -88,6 +95,23 @@
     id: String,
     state: Shared<State>,
     record: Shared<Record>,
+    down_until: Shared<Option<Instant>>,
+    crashed: Notify,
+}
+
+impl TargetContext {
+    fn is_down(&self) -> bool {
+        self.down_until
+            .get()
+            .is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Ends the running requests and answers nothing for a while.
+    fn crash(&self, duration: Duration) {
+        self.record.change(|record| record.crashes += 1);
+        self.down_until.set(Some(Instant::now() + duration));
+        self.crashed.notify_waiters();
+    }
 }
 
 impl TargetStandin {
@@ -102,6 +126,8 @@
             id: id.into(),
             state: Shared::clone(&state),
             record: Shared::clone(&record),
+            down_until: Shared::default(),
+            crashed: Notify::new(),
         });
         let server = web::serve(move |req| {
             let cx = cx.clone();
@@ -146,6 +172,7 @@
             healthy: true,
             read_pause: Duration::ZERO,
             shed_first: None,
+            crash_duration: Duration::ZERO,
         }
     }
 }
@@ -159,6 +186,9 @@
 }
 
 async fn handle(cx: &TargetContext, req: Request<Incoming>) -> Option<Response<Body>> {
+    if cx.is_down() {
+        return None;
+    }
     let state = cx.state.get();
     let load = format!("0,0,6,{}", state.slowness_percent);
     if req.uri().path() == "/health" {
@@ -183,6 +213,10 @@
     let (method, path) = (req.method().clone(), req.uri().path().to_owned());
     cx.record
         .change(|record| *record.runs.entry(id.clone()).or_default() += 1);
+    if path.contains("crash") && !state.crash_duration.is_zero() {
+        cx.crash(state.crash_duration);
+        return None;
+    }
     if state.behaviour == Behaviour::Early {
         let proof = [("x-request-id", &*id), ("x-server-signature", "proof")];
         return Some(response(500, &proof, String::new()));
@@ -194,7 +228,10 @@
     let body = read_body(req.into_body(), &state).await?;
     guard.is_whole = true;
     drop(guard);
-    tokio::time::sleep(state.work).await;
+    tokio::select! {
+        () = tokio::time::sleep(state.work) => {}
+        () = cx.crashed.notified() => return None,
+    }
     cx.record.change(|record| record.finished += 1);
     let sum = checksum(&body).to_string();
     let proof = [
--- a/tests/entry_cluster/mod.rs
+++ b/tests/entry_cluster/mod.rs
@@ -180,6 +180,10 @@
         self.store.put("op/config", configuration.as_bytes());
     }
 
+    pub fn targets(&self) -> &[TargetStandin] {
+        &self.targets
+    }
+
     pub fn put_target(&self, number: usize, leaving: bool) {
         let target = &self.targets[number];
         let key = format!("servers/{}", target.id);
