Add up the crashes that several instances attribute to a request

Callers saw: a request that had crashed three targets was sent on, and crashed more. Cause: instances told each other a count and kept the higher one, so three instances that each saw one crash agreed on fewer than three; and a heartbeat told the first eight suspects only, so that a ninth was never told.

Change: a crash has an id, on the platform that of the target's run; instances merge sets of ids, and the set of those that a response has cleared; heartbeats carry the records with news first and the others in turn. The sets follow the heartbeat, where earlier releases ignore them; counts of earlier releases are still merged. The same merge served the other binding.

Why it works: a union of ids counts each crash once, in whatever order reports arrive.

--- a/src/dispatch/crash.rs
+++ b/src/dispatch/crash.rs
@@ -11,7 +11,7 @@
 
 use super::body::CallBody;
 use super::call::Call;
-use super::quarantine::{Case, Fingerprint};
+use super::quarantine::{Case, Evidence, Fingerprint};
 use crate::instance::Instance;
 use crate::macros::data;
 use crate::platform::http::send;
@@ -29,6 +29,9 @@
     pub struct QuarantineReport {
         /// Suspected or blocked requests.
         pub cases: Vec<Case>,
+        /// Crashes of these requests; empty in a report of an earlier release.
+        #[serde(default)]
+        pub evidence: Vec<Evidence>,
     }
 }
 
@@ -73,7 +76,10 @@
         return;
     }
     let now = instance.tables.clock.now();
-    let cases = instance.dispatch.quarantine().record_crash(now, target);
+    let cases = instance
+        .dispatch
+        .quarantine()
+        .record_crash(now, target, None);
     if !cases.is_empty() {
         tracing::warn!(%target, ?cases, "target crashed; requests in flight on it are suspected");
         report_to_peers(instance, cases).await;
@@ -107,7 +113,9 @@
 
 /// Reports the records to all other members and merges their records of the same requests.
 async fn report_to_peers(instance: &Arc<Instance>, cases: Vec<Case>) {
-    let msg = QuarantineReport { cases };
+    let fingerprints = cases.iter().map(|case| case.fingerprint);
+    let evidence = evidence_of(instance, fingerprints);
+    let msg = QuarantineReport { cases, evidence };
     let directory = instance.tables.directory();
     let others = directory
         .members
@@ -130,11 +138,24 @@
 pub(crate) fn merge(instance: &Instance, report: &QuarantineReport) {
     let now = instance.tables.clock.now();
     let mut quarantine = instance.dispatch.quarantine();
+    for evidence in &report.evidence {
+        quarantine.merge_evidence(now, evidence);
+    }
     for case in &report.cases {
         quarantine.merge(now, case);
     }
 }
 
+fn evidence_of(
+    instance: &Instance,
+    fingerprints: impl Iterator<Item = Fingerprint>,
+) -> Vec<Evidence> {
+    let quarantine = instance.dispatch.quarantine();
+    fingerprints
+        .filter_map(|fingerprint| quarantine.evidence(fingerprint))
+        .collect()
+}
+
 /// Handles a peer's report: merges it and returns this instance's records of the same requests.
 pub(crate) fn handle_report(instance: &Instance, report: &QuarantineReport) -> QuarantineReport {
     merge(instance, report);
@@ -145,12 +166,12 @@
             .iter()
             .any(|other| other.fingerprint == case.fingerprint)
     };
+    let quarantine = instance.dispatch.quarantine();
+    let cases = quarantine.cases(now).filter(reported).collect();
+    drop(quarantine);
+    let fingerprints = report.cases.iter().map(|case| case.fingerprint);
     QuarantineReport {
-        cases: instance
-            .dispatch
-            .quarantine()
-            .cases(now)
-            .filter(reported)
-            .collect(),
+        cases,
+        evidence: evidence_of(instance, fingerprints),
     }
 }
--- a/src/dispatch/quarantine.rs
+++ b/src/dispatch/quarantine.rs
@@ -3,15 +3,29 @@
 //! A request that was running on a target when it crashed becomes a suspect.
 //! Suspects run one at a time per target, so that the next crash identifies the
 //! request that caused it; after enough crashes a request is blocked for some time.
+//!
+//! Instances tell each other which crashes they attribute to a request. Crashes have ids,
+//! so that those seen by several instances add up and none counts twice.
 
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
 
 use crate::units::Time;
 
+/// Keys of the hash that identifies crashes; every instance must use the same.
+const HASH_KEYS: (u64, u64) = (0x7175_6172_616e_7469, 0x6e65_5f63_7261_7368);
+/// Maximum number of crashes of a request that are recorded, and of those that a response
+/// has cleared it of.
+pub const MAX_CRASHES: usize = 3;
+/// Time for which cleared crashes are recorded. Peers that still report them learn of the
+/// response in less.
+const CLEARED_RETENTION: Duration = Duration::from_secs(60);
+
 /// Settings of the quarantine.
 #[derive(Debug, Clone, PartialEq)]
 pub struct QuarantineSettings {
@@ -25,8 +39,9 @@
     pub crash_window: Duration,
     /// Maximum number of suspected or blocked requests; the oldest records are dropped.
     pub max_records: usize,
-    /// Whether suspects run apart from each other, and a crash with exactly one
-    /// suspect present is attributed to it alone; disabled only in tests.
+    /// Whether suspects run apart from each other, see
+    /// [`Quarantine::try_start_suspect`], and a crash with exactly one suspect present is
+    /// attributed to it alone; disabled only in tests.
     pub isolate_suspects: bool,
 }
 
@@ -76,11 +91,95 @@
     pub held_ms: u64,
 }
 
-#[derive(Debug, Clone, Copy)]
+/// Identifies the crash of one run of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct CrashId(u32);
+
+impl CrashId {
+    /// Id of the crash of a run with this key.
+    #[must_use]
+    pub fn of_run(run: u64) -> Self {
+        Self::hash(&run)
+    }
+
+    fn hash(value: &impl Hash) -> Self {
+        let mut hasher = SipHasher13::new_with_keys(HASH_KEYS.0, HASH_KEYS.1);
+        value.hash(&mut hasher);
+        let hash = hasher.finish();
+        Self(u32::try_from(hash >> 32).unwrap_or_default())
+    }
+}
+
+/// The crashes that an instance attributes to a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Crashes during which it was running.
+    pub crashes: Vec<CrashId>,
+    /// Crashes that it has not caused, as a target has responded to it since.
+    pub cleared: Vec<CrashId>,
+}
+
+#[derive(Debug, Clone, Default)]
 struct Record {
-    deaths: u32,
+    crashes: Vec<CrashId>,
+    cleared: Vec<CrashId>,
+    /// Number of crashes reported by earlier releases, which report no ids.
+    reported: u32,
     blocked_until: Time,
     suspect_until: Time,
+    /// Whether the peers may not know all of it.
+    changed: bool,
+    /// Number of the report to peers that last contained it; 0 before the first.
+    reported_in: u64,
+}
+
+impl Record {
+    fn deaths(&self) -> u32 {
+        let crashes = u32::try_from(self.crashes.len()).unwrap_or(u32::MAX);
+        crashes.max(self.reported)
+    }
+
+    fn evidence(&self, fingerprint: Fingerprint) -> Evidence {
+        Evidence {
+            fingerprint,
+            crashes: self.crashes.clone(),
+            cleared: self.cleared.clone(),
+        }
+    }
+
+    fn case(&self, now: Time, fingerprint: Fingerprint) -> Case {
+        Case {
+            fingerprint,
+            deaths: self.deaths(),
+            held_ms: u64::try_from(self.blocked_until.since(now).as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// Adds a crash; returns whether it is new.
+    fn add_crash(&mut self, crash: CrashId) -> bool {
+        let is_new = !self.crashes.contains(&crash) && !self.cleared.contains(&crash);
+        if is_new {
+            self.crashes.push(crash);
+            self.crashes.truncate(MAX_CRASHES);
+            self.changed = true;
+        }
+        is_new
+    }
+
+    /// Clears the request of a crash.
+    fn clear(&mut self, crash: CrashId) {
+        self.crashes.retain(|known| *known != crash);
+        if !self.cleared.contains(&crash) {
+            self.cleared.push(crash);
+            self.changed = true;
+        }
+        while self.cleared.len() > MAX_CRASHES {
+            self.cleared.remove(0);
+        }
+    }
 }
 
 /// Requests that one instance suspects or blocks.
@@ -90,6 +189,7 @@
     records: IndexMap<Fingerprint, Record>,
     broken_calls: IndexMap<SocketAddr, Vec<(Fingerprint, Time)>>,
     running_suspects: IndexMap<SocketAddr, Fingerprint>,
+    reports_sent: u64,
     start_ids: IndexMap<SocketAddr, String>,
 }
 
@@ -114,7 +214,9 @@
     pub fn status(&self, now: Time, fingerprint: Fingerprint) -> QuarantineStatus {
         match self.records.get(&fingerprint) {
             Some(record) if now < record.blocked_until => QuarantineStatus::Blocked,
-            Some(record) if now < record.suspect_until => QuarantineStatus::Suspect,
+            Some(record) if now < record.suspect_until && record.deaths() > 0 => {
+                QuarantineStatus::Suspect
+            }
             _ => QuarantineStatus::Clear,
         }
     }
@@ -140,9 +242,16 @@
 
     /// Clears a suspect to which a target has responded; a blocked request stays blocked.
     pub fn record_response(&mut self, now: Time, fingerprint: Fingerprint) {
-        if self.status(now, fingerprint) == QuarantineStatus::Suspect {
-            self.records.swap_remove(&fingerprint);
+        if self.status(now, fingerprint) != QuarantineStatus::Suspect {
+            return;
+        }
+        let mut record = self.record_of(now, fingerprint);
+        record.reported = 0;
+        for crash in std::mem::take(&mut record.crashes) {
+            record.clear(crash);
         }
+        record.suspect_until = now.after(CLEARED_RETENTION);
+        self.store(fingerprint, record);
     }
 
     /// Records that a call broke off on a target, which may be due to a crash.
@@ -179,13 +288,20 @@
     #[must_use]
     pub fn crashes(&self, fingerprint: Fingerprint) -> u32 {
         let record = self.records.get(&fingerprint);
-        record.map_or(0, |record| record.deaths)
+        record.map_or(0, Record::deaths)
     }
 
     /// Attributes a target's crash to the calls that broke off on it.
     ///
-    /// Returns the records of the requests that it was attributed to.
-    pub fn record_crash(&mut self, now: Time, target: SocketAddr) -> Vec<Case> {
+    /// `id` identifies the crash for all instances; without it, the crashes of a target are
+    /// numbered for each request. Returns the records of the requests that it was
+    /// attributed to.
+    pub fn record_crash(
+        &mut self,
+        now: Time,
+        target: SocketAddr,
+        id: Option<CrashId>,
+    ) -> Vec<Case> {
         let mut present: Vec<_> = self
             .broken_calls
             .swap_remove(&target)
@@ -208,17 +324,56 @@
             _ => Vec::new(),
         };
         for fingerprint in &attributed {
-            self.add_crash(now, *fingerprint);
+            let mut record = self.record_of(now, *fingerprint);
+            let id = id.unwrap_or_else(|| next_crash(&record, target));
+            if record.add_crash(id) || record.crashes.len() >= MAX_CRASHES {
+                self.update_block(now, &mut record);
+            }
+            self.store(*fingerprint, record);
         }
         self.cases(now)
             .filter(|case| attributed.contains(&case.fingerprint))
             .collect()
     }
 
-    /// Merges a record of another instance; the higher count and the later end of a block win.
+    /// Merges what another instance attributes to a request; returns whether any crash is
+    /// new.
+    pub fn merge_evidence(&mut self, now: Time, evidence: &Evidence) -> bool {
+        let is_known = self.records.contains_key(&evidence.fingerprint);
+        if evidence.crashes.is_empty() && !is_known {
+            return false;
+        }
+        let mut record = self.record_of(now, evidence.fingerprint);
+        let had_changed = std::mem::take(&mut record.changed);
+        for crash in &evidence.cleared {
+            record.clear(*crash);
+        }
+        let mut is_new = false;
+        for crash in &evidence.crashes {
+            is_new |= record.add_crash(*crash);
+        }
+        if is_new && now >= record.blocked_until {
+            self.update_block(now, &mut record);
+        } else if record.changed && record.crashes.is_empty() {
+            record.suspect_until = now.after(CLEARED_RETENTION);
+        }
+        record.changed |= had_changed;
+        self.store(evidence.fingerprint, record);
+        is_new
+    }
+
+    /// Merges the end of a block by another instance, of which the later one wins. The
+    /// higher count wins too unless ids of crashes are known, which earlier releases
+    /// don't report.
     pub fn merge(&mut self, now: Time, case: &Case) {
         let mut record = self.record_of(now, case.fingerprint);
-        record.deaths = record.deaths.max(case.deaths);
+        let has_ids = !record.crashes.is_empty() || !record.cleared.is_empty();
+        if has_ids && case.held_ms == 0 {
+            return;
+        }
+        if !has_ids {
+            record.reported = record.reported.max(case.deaths);
+        }
         let blocked_until = now.after(Duration::from_millis(case.held_ms));
         if case.held_ms > 0 {
             record.blocked_until = record.blocked_until.max(blocked_until);
@@ -229,11 +384,52 @@
 
     /// All requests that are suspected or blocked.
     pub fn cases(&self, now: Time) -> impl Iterator<Item = Case> + '_ {
-        self.records.iter().map(move |(fingerprint, record)| Case {
-            fingerprint: *fingerprint,
-            deaths: record.deaths,
-            held_ms: u64::try_from(record.blocked_until.since(now).as_millis()).unwrap_or(u64::MAX),
-        })
+        let records = self.records.iter();
+        let suspected = records.filter(|(_, record)| record.deaths() > 0);
+        suspected.map(move |(fingerprint, record)| record.case(now, *fingerprint))
+    }
+
+    /// What is known of a request, for peers; `None` if nothing is.
+    #[must_use]
+    pub fn evidence(&self, fingerprint: Fingerprint) -> Option<Evidence> {
+        let record = self.records.get(&fingerprint)?;
+        Some(record.evidence(fingerprint))
+    }
+
+    /// The records that the next report to peers contains, at most `limit`: first those that
+    /// changed, then those that were reported longest ago, so that none is left out for
+    /// long. `reaches_all` says whether all peers get the report.
+    pub fn next_report(
+        &mut self,
+        now: Time,
+        limit: usize,
+        reaches_all: bool,
+    ) -> (Vec<Case>, Vec<Evidence>) {
+        let mut order: Vec<(bool, u64, Fingerprint)> = self
+            .records
+            .iter()
+            .map(|(fingerprint, record)| (!record.changed, record.reported_in, *fingerprint))
+            .collect();
+        order.sort_unstable();
+        order.truncate(limit);
+        if reaches_all {
+            self.reports_sent += 1;
+        }
+        let (mut cases, mut evidence) = (Vec::new(), Vec::new());
+        for (.., fingerprint) in order {
+            let Some(record) = self.records.get_mut(&fingerprint) else {
+                continue;
+            };
+            if reaches_all {
+                record.changed = false;
+                record.reported_in = self.reports_sent;
+            }
+            if record.deaths() > 0 {
+                cases.push(record.case(now, fingerprint));
+            }
+            evidence.push(record.evidence(fingerprint));
+        }
+        (cases, evidence)
     }
 
     /// Drops records of requests that are no longer suspected or blocked.
@@ -242,25 +438,19 @@
             .retain(|_, record| now < record.suspect_until.max(record.blocked_until));
     }
 
-    fn add_crash(&mut self, now: Time, fingerprint: Fingerprint) {
-        let mut record = self.record_of(now, fingerprint);
-        record.deaths += 1;
+    /// Keeps a request suspected, and blocks it after enough crashes.
+    fn update_block(&self, now: Time, record: &mut Record) {
         record.suspect_until = now.after(self.settings.suspect_duration);
-        if record.deaths >= self.settings.crashes_to_block {
+        if record.deaths() >= self.settings.crashes_to_block {
             record.blocked_until = now.after(self.settings.block_duration);
         }
-        self.store(fingerprint, record);
     }
 
     fn record_of(&self, now: Time, fingerprint: Fingerprint) -> Record {
-        let known = self.records.get(&fingerprint).copied();
+        let known = self.records.get(&fingerprint).cloned();
         known
             .filter(|record| now < record.suspect_until.max(record.blocked_until))
-            .unwrap_or(Record {
-                deaths: 0,
-                blocked_until: Time::ZERO,
-                suspect_until: Time::ZERO,
-            })
+            .unwrap_or_default()
     }
 
     fn store(&mut self, fingerprint: Fingerprint, record: Record) {
@@ -271,5 +461,13 @@
     }
 }
 
+/// Id of the next crash of a target that is attributed to a request.
+fn next_crash(record: &Record, target: SocketAddr) -> CrashId {
+    let is_known = |id: &CrashId| record.crashes.contains(id) || record.cleared.contains(id);
+    let ids = (0..=2 * MAX_CRASHES).map(|number| CrashId::hash(&(target, number)));
+    let unknown = ids.clone().find(|id| !is_known(id));
+    unknown.unwrap_or_else(|| CrashId::hash(&target))
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/dispatch/quarantine/tests.rs
+++ b/src/dispatch/quarantine/tests.rs
@@ -19,7 +19,7 @@
     for call in calls {
         quarantine.record_broken_call(now, at, *call);
     }
-    quarantine.record_crash(now, at)
+    quarantine.record_crash(now, at, None)
 }
 
 #[test]
@@ -195,3 +195,102 @@
     });
     assert!(found);
 }
+
+fn crash_of_run(quarantine: &mut Quarantine, run: u64, call: Fingerprint) {
+    let at = target(u16::try_from(run).unwrap());
+    quarantine.record_broken_call(Time::ZERO, at, call);
+    quarantine.record_crash(Time::ZERO, at, Some(CrashId::of_run(run)));
+}
+
+fn report(from: &mut Quarantine, to: &mut Quarantine) {
+    let (cases, evidence) = from.next_report(Time::ZERO, 4, true);
+    for evidence in &evidence {
+        to.merge_evidence(Time::ZERO, evidence);
+    }
+    for case in &cases {
+        to.merge(Time::ZERO, case);
+    }
+}
+
+fn three_crashes() -> QuarantineSettings {
+    QuarantineSettings {
+        crashes_to_block: 3,
+        isolate_suspects: false,
+        ..QuarantineSettings::default()
+    }
+}
+
+#[test]
+fn crashes_seen_by_several_instances_add_up_and_none_counts_twice() {
+    let mut instances = [(); 3].map(|()| Quarantine::new(three_crashes()));
+    for (run, instance) in (1..).zip(&mut instances) {
+        crash_of_run(instance, run.min(2), CRASHER);
+    }
+    let [first, second, third] = &mut instances;
+    for _ in 0..2 {
+        report(first, second);
+        report(second, third);
+        report(third, first);
+    }
+    assert_eq!(
+        first.status(Time::ZERO, CRASHER),
+        QuarantineStatus::Suspect,
+        "two targets crashed, one of them seen by two instances"
+    );
+    crash_of_run(third, 3, CRASHER);
+    report(third, first);
+    report(first, second);
+    for instance in &instances {
+        assert_eq!(
+            instance.status(Time::ZERO, CRASHER),
+            QuarantineStatus::Blocked
+        );
+    }
+}
+
+#[test]
+fn a_request_that_was_responded_to_is_not_suspected_again_by_an_older_report() {
+    let (mut one, mut other) = (Quarantine::default(), Quarantine::default());
+    crash_of_run(&mut one, 1, CRASHER);
+    report(&mut one, &mut other);
+    one.record_response(Time::ZERO, CRASHER);
+    report(&mut other, &mut one);
+    assert_eq!(one.status(Time::ZERO, CRASHER), QuarantineStatus::Clear);
+    report(&mut one, &mut other);
+    assert_eq!(other.status(Time::ZERO, CRASHER), QuarantineStatus::Clear);
+    let later = Time::ZERO.after(2 * CLEARED_RETENTION);
+    other.remove_expired(later);
+    assert!(other.is_empty());
+}
+
+#[test]
+fn every_suspect_is_reported_in_turn_and_news_come_first() {
+    let (mut one, mut other) = (Quarantine::default(), Quarantine::default());
+    for run in 1..=20 {
+        crash_of_run(&mut one, run, Fingerprint(run));
+    }
+    for _ in 0..5 {
+        report(&mut one, &mut other);
+    }
+    assert_eq!(other.cases(Time::ZERO).count(), 20);
+    crash_of_run(&mut one, 21, CRASHER);
+    report(&mut one, &mut other);
+    assert_eq!(other.crashes(CRASHER), 1);
+}
+
+#[test]
+fn a_count_reported_without_crashes_is_merged_once() {
+    let mut quarantine = Quarantine::new(three_crashes());
+    let case = Case {
+        fingerprint: CRASHER,
+        deaths: 2,
+        held_ms: 0,
+    };
+    quarantine.merge(Time::ZERO, &case);
+    quarantine.merge(Time::ZERO, &case);
+    assert_eq!(quarantine.crashes(CRASHER), 2);
+    assert_eq!(
+        quarantine.status(Time::ZERO, CRASHER),
+        QuarantineStatus::Suspect
+    );
+}
--- a/src/entry/digest/tests.rs
+++ b/src/entry/digest/tests.rs
@@ -69,6 +69,7 @@
         reports: Vec::new(),
         member: None,
         cases: Vec::new(),
+        evidence: Vec::new(),
     }
 }
 
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -257,6 +257,12 @@
             .map(|(address, member)| (*address, member))
     }
 
+    /// Whether any known instance is in another zone than `zone`.
+    #[must_use]
+    pub fn has_other_zones(&self, zone: &ZoneName) -> bool {
+        self.by_address.values().any(|member| member.zone != *zone)
+    }
+
     /// Returns the instances in `zone` and those in other zones that are due a
     /// heartbeat, and records it as sent; see [`heartbeat_interval`]. In a large
     /// membership only a few in each other zone are, which relay it there.
--- a/src/entry/members/tests.rs
+++ b/src/entry/members/tests.rs
@@ -30,6 +30,7 @@
         reports: Vec::new(),
         member: None,
         cases: Vec::new(),
+        evidence: Vec::new(),
     }
 }
 
--- a/src/entry/message.rs
+++ b/src/entry/message.rs
@@ -10,7 +10,7 @@
 use super::load::Load;
 use super::members::InstanceStatus;
 use super::replica::{Delta, Position};
-use crate::dispatch::quarantine::Case;
+use crate::dispatch::quarantine::{Case, Evidence};
 use crate::names::ZoneName;
 
 /// Maximum datagram size: below the usual packet size without headers.
@@ -20,7 +20,7 @@
 /// Maximum statuses of other zones' instances in a heartbeat.
 pub const MAX_RELAYED: usize = 8;
 /// Maximum quarantine cases in a heartbeat.
-pub const MAX_CASES: usize = 8;
+pub const MAX_CASES: usize = 4;
 /// Maximum frame size over TCP: a full configuration and all targets.
 pub const MAX_FRAME: usize = 16 << 20;
 
@@ -86,6 +86,10 @@
     pub member: Option<(SocketAddr, ZoneName)>,
     /// Requests that it suspects of crashing targets.
     pub cases: Vec<Case>,
+    /// Crashes of these requests. They are encoded apart, since earlier releases don't know
+    /// them.
+    #[serde(skip)]
+    pub evidence: Vec<Evidence>,
 }
 
 /// Status of an instance in another zone, as told in the zone of the receiver.
@@ -133,6 +137,8 @@
     era: u64,
     /// Eras of the revisions in the relayed statuses, in their order.
     relayed_eras: Vec<u64>,
+    /// Crashes of the requests that the sender suspects.
+    evidence: Vec<Evidence>,
 }
 
 /// Encodes a heartbeat. Statuses of other zones' instances, for peers in the same zone,
@@ -147,6 +153,7 @@
     let extension = HeartbeatExtension {
         era: heartbeat.status.era,
         relayed_eras: relayed.iter().map(|relayed| relayed.status.era).collect(),
+        evidence: heartbeat.evidence.clone(),
     };
     let mut bytes = encode(&Datagram::Heartbeat(heartbeat))?;
     bytes.extend(postcard::to_stdvec(relayed)?);
@@ -169,6 +176,7 @@
         let extension: HeartbeatExtension = postcard::from_bytes(rest)?;
         if let Datagram::Heartbeat(heartbeat) = &mut datagram {
             heartbeat.status.era = extension.era;
+            heartbeat.evidence = extension.evidence;
         }
         for (relayed, era) in relayed.iter_mut().zip(extension.relayed_eras) {
             relayed.status.era = era;
--- a/src/entry/message/tests.rs
+++ b/src/entry/message/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::dispatch::quarantine::{CrashId, MAX_CRASHES};
 
 fn report() -> TargetReport {
     TargetReport {
@@ -83,6 +84,14 @@
             };
             MAX_CASES
         ],
+        evidence: vec![
+            Evidence {
+                fingerprint: crate::dispatch::quarantine::Fingerprint(u64::MAX),
+                crashes: vec![CrashId::of_run(1); MAX_CRASHES],
+                cleared: vec![CrashId::of_run(1); MAX_CRASHES],
+            };
+            MAX_CASES
+        ],
     };
     let bytes = encode_heartbeat(heartbeat.clone(), &[]).unwrap();
     assert!(bytes.len() <= MAX_DATAGRAM, "{}", bytes.len());
@@ -101,6 +110,7 @@
         reports: vec![report()],
         member: None,
         cases: Vec::new(),
+        evidence: Vec::new(),
     }
 }
 
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -22,7 +22,7 @@
 use super::wait_queue::WaitQueue;
 use super::watchers::{StoreAccess, should_watch, watching};
 use super::window::{RetryBudget, RetryBudgetRule, slack_share};
-use crate::dispatch::quarantine::{Quarantine, QuarantineSettings};
+use crate::dispatch::quarantine::{CrashId, Quarantine, QuarantineSettings};
 use crate::names::{ServiceName, TargetId, ZoneName};
 use crate::platform::prepared::store::RejectedRecord;
 use crate::units::Time;
@@ -410,7 +410,8 @@
             return;
         };
         let broken_calls = self.quarantine.broken_calls(address);
-        let cases = self.quarantine.record_crash(now, address);
+        let id = CrashId::of_run(report.target);
+        let cases = self.quarantine.record_crash(now, address, Some(id));
         if broken_calls > 0 {
             tracing::warn!(
                 target_address = %address,
@@ -464,12 +465,15 @@
                 ..own.report
             });
         }
+        let reaches_all = !other_zones.is_empty() || !self.members.has_other_zones(&zone);
+        let (cases, evidence) = self.quarantine.next_report(now, MAX_CASES, reaches_all);
         let heartbeat = Heartbeat {
             zone,
             status: self.status.clone(),
             reports,
             member: self.member_to_share(now),
-            cases: self.quarantine.cases(now).take(MAX_CASES).collect(),
+            cases,
+            evidence,
         };
         DueHeartbeat {
             relayed: self.members.statuses_to_relay(now, &heartbeat.zone),
@@ -529,20 +533,21 @@
             self.targets.apply_report(now, report);
             self.record_crash_if_unreachable(now, report);
         }
-        for case in &heartbeat.cases {
-            let before = self.quarantine.crashes(case.fingerprint);
-            self.quarantine.merge(now, case);
-            let deaths = self.quarantine.crashes(case.fingerprint);
-            if deaths > before {
+        for evidence in &heartbeat.evidence {
+            let before = self.quarantine.crashes(evidence.fingerprint);
+            if self.quarantine.merge_evidence(now, evidence) {
                 tracing::info!(
-                    fingerprint = %case.fingerprint,
+                    fingerprint = %evidence.fingerprint,
                     peer = %from,
                     before,
-                    deaths,
+                    deaths = self.quarantine.crashes(evidence.fingerprint),
                     "crashes reported by a peer"
                 );
             }
         }
+        for case in &heartbeat.cases {
+            self.quarantine.merge(now, case);
+        }
     }
 
     /// Applies statuses that a peer in the same zone relays.
