Attribute a crash to every request that broke off on the target

Callers saw: a request that had crashed three targets was sent on, and crashed more. Cause: with several suspects among the calls that broke off at a crash, it was attributed to none. That rule needs suspects to run apart, which the platform's instances don't do: the requests on a crashed target break off together, are retried together and crash the next target together. An instance also depended on a report that the target was gone, which in a large membership doesn't reach other zones, and took calls that broke off long before for those of a crash.

Change: on the platform a crash is attributed to every request that broke off there within a second, and an answer clears a request; an instance checks a target itself after a call broke off on it, once a second and target. Why it works: the one that causes crashes is never answered, so it alone collects three.

The stand-in now starts a new run after each crash.

--- a/src/dispatch/quarantine.rs
+++ b/src/dispatch/quarantine.rs
@@ -41,7 +41,7 @@
     pub max_records: usize,
     /// Whether suspects run apart from each other, see
     /// [`Quarantine::try_start_suspect`], and a crash with exactly one suspect present is
-    /// attributed to it alone; disabled only in tests.
+    /// attributed to it alone. Otherwise a crash is attributed to all requests present.
     pub isolate_suspects: bool,
 }
 
@@ -254,8 +254,14 @@
         self.store(fingerprint, record);
     }
 
-    /// Records that a call broke off on a target, which may be due to a crash.
-    pub fn record_broken_call(&mut self, now: Time, target: SocketAddr, fingerprint: Fingerprint) {
+    /// Records that a call broke off on a target, which may be due to a crash; returns
+    /// whether it is the only one there for now.
+    pub fn record_broken_call(
+        &mut self,
+        now: Time,
+        target: SocketAddr,
+        fingerprint: Fingerprint,
+    ) -> bool {
         let crash_window = self.settings.crash_window;
         self.broken_calls.retain(|_, calls| {
             calls.retain(|(_, at)| now.since(*at) <= crash_window);
@@ -265,6 +271,7 @@
         if calls.len() < self.settings.max_records {
             calls.push((fingerprint, now));
         }
+        calls.len() == 1
     }
 
     /// Records a target's start id and returns whether it differs from the last one.
@@ -302,11 +309,13 @@
         target: SocketAddr,
         id: Option<CrashId>,
     ) -> Vec<Case> {
+        let crash_window = self.settings.crash_window;
         let mut present: Vec<_> = self
             .broken_calls
             .swap_remove(&target)
             .unwrap_or_default()
             .into_iter()
+            .filter(|(_, at)| now.since(*at) <= crash_window)
             .map(|(fingerprint, _)| fingerprint)
             .collect();
         present.sort_unstable();
--- a/src/dispatch/quarantine/tests.rs
+++ b/src/dispatch/quarantine/tests.rs
@@ -248,6 +248,28 @@
     }
 }
 
+#[test]
+fn a_request_is_blocked_though_others_broke_off_beside_it_each_time() {
+    let mut quarantine = Quarantine::new(three_crashes());
+    let bystander = Fingerprint(1);
+    for run in 1..=3 {
+        let at = target(u16::try_from(run).unwrap());
+        quarantine.record_broken_call(Time::ZERO, at, bystander);
+        crash_of_run(&mut quarantine, run, CRASHER);
+        if run == 2 {
+            quarantine.record_response(Time::ZERO, bystander);
+        }
+    }
+    assert_eq!(
+        quarantine.status(Time::ZERO, CRASHER),
+        QuarantineStatus::Blocked
+    );
+    assert_eq!(
+        quarantine.status(Time::ZERO, bystander),
+        QuarantineStatus::Suspect
+    );
+}
+
 #[test]
 fn a_request_that_was_responded_to_is_not_suspected_again_by_an_older_report() {
     let (mut one, mut other) = (Quarantine::default(), Quarantine::default());
@@ -294,3 +316,11 @@
         QuarantineStatus::Suspect
     );
 }
+
+#[test]
+fn a_call_that_broke_off_long_before_a_crash_is_not_suspected() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_broken_call(Time::ZERO, target(1), CRASHER);
+    let later = Time::ZERO.after(2 * SECOND);
+    assert!(quarantine.record_crash(later, target(1), None).is_empty());
+}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -177,6 +177,9 @@
     let (outcome, response) =
         shared.record_result(&outbound, &choice, started, plan.fingerprint, result);
     drop(in_flight);
+    if outcome == AttemptOutcome::Lost {
+        shared.record_broken_call(&choice, plan.fingerprint);
+    }
     CompletedAttempt {
         choice,
         outcome,
@@ -336,6 +339,19 @@
 }
 
 impl Shared {
+    /// Records that a call broke off on a target, and checks whether the target crashed.
+    fn record_broken_call(self: &Arc<Self>, choice: &ChosenTarget, fingerprint: Fingerprint) {
+        let now = self.now();
+        let mut state = self.state();
+        let is_first = state
+            .quarantine
+            .record_broken_call(now, choice.address, fingerprint);
+        if is_first {
+            let checking = probe::check_after_broken_call(self.clone(), choice.id.clone());
+            tokio::spawn(checking);
+        }
+    }
+
     /// Classifies the result of an exchange and records what it says about the target.
     fn record_result(
         &self,
@@ -366,25 +382,17 @@
         {
             view.record_outcome(now, outcome != AttemptOutcome::Answered);
         }
-        match outcome {
-            AttemptOutcome::Lost => {
+        if outcome == AttemptOutcome::Answered {
+            state.quarantine.record_response(now, fingerprint);
+            let at = &choice.candidate;
+            if let Some(percent) = at.slowness_percent
+                && at.occupied < at.slots
+            {
+                let took = started.elapsed();
                 state
-                    .quarantine
-                    .record_broken_call(now, choice.address, fingerprint);
-            }
-            AttemptOutcome::Answered => {
-                state.quarantine.record_response(now, fingerprint);
-                let at = &choice.candidate;
-                if let Some(percent) = at.slowness_percent
-                    && at.occupied < at.slots
-                {
-                    let took = started.elapsed();
-                    state
-                        .service_times
-                        .record(&outbound.route, took, percent / 100.0);
-                }
+                    .service_times
+                    .record(&outbound.route, took, percent / 100.0);
             }
-            _ => {}
         }
         drop(state);
         if outcome == AttemptOutcome::Answered {
--- a/src/entry/probe.rs
+++ b/src/entry/probe.rs
@@ -8,6 +8,7 @@
 
 use super::message::{Health, TargetReport};
 use super::shared::Shared;
+use super::targets::TargetState;
 use crate::http1::client::{Conn, ExchangeError, OutgoingRequest, Response};
 use crate::names::TargetId;
 use crate::platform::prepared::wire;
@@ -16,6 +17,9 @@
 /// Maximum body of a health check's response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 10;
 
+/// Delay of a check after a call broke off.
+const BROKEN_CALL_CHECK_DELAY: Duration = Duration::from_millis(10);
+
 /// Starts the probes of one instance.
 #[derive(Debug)]
 pub(crate) struct Prober {
@@ -108,6 +112,32 @@
     }
 }
 
+/// Checks a target on which a call of this instance broke off, so that a crash is found
+/// without a report of the target's prober.
+pub(super) async fn check_after_broken_call(shared: Arc<Shared>, id: TargetId) {
+    let target = {
+        let state = shared.state();
+        let timeout = state.tuning.probe_timeout;
+        let path = |view: &TargetState| state.health_path(&view.target.service);
+        let view = state.targets.get(&id);
+        view.and_then(|view| Some((view.key, view.target.address, path(view)?, timeout)))
+    };
+    let Some((key, address, path, timeout)) = target else {
+        return;
+    };
+    // Other calls on a crashed target break off too.
+    tokio::time::sleep(BROKEN_CALL_CHECK_DELAY).await;
+    shared.metrics.probes.inc();
+    let checking = check_or_connect(None, address, &path, timeout);
+    let response = match tokio::time::timeout(timeout, checking).await {
+        Ok(Ok((response, _))) => Some(response),
+        Ok(Err(_)) | Err(_) => None,
+    };
+    let report = target_report(key, &id, response.as_ref());
+    let now = shared.now();
+    shared.state().record_probe(now, report);
+}
+
 async fn check_or_connect(
     conn: Option<Conn>,
     address: SocketAddr,
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -128,6 +128,8 @@
         }
         let quarantine = Quarantine::new(QuarantineSettings {
             crashes_to_block: CRASHES_TO_BLOCK,
+            // Requests that break off together are retried together.
+            isolate_suspects: false,
             ..QuarantineSettings::default()
         });
         Self {
@@ -357,6 +359,12 @@
         slots / self.instances()
     }
 
+    /// Path of the health check of a service's targets; `None` if it is not configured.
+    pub(crate) fn health_path(&self, service: &ServiceName) -> Option<Arc<str>> {
+        let services = &self.replica.configuration()?.services;
+        Some(services.get(service)?.health_path.clone())
+    }
+
     /// Targets that this instance probes, with their address and health check path.
     pub(crate) fn targets_to_probe(&self, now: Time) -> Vec<(TargetId, SocketAddr, Arc<str>)> {
         let Some(configuration) = self.replica.configuration() else {
--- a/standin/src/prepared/target.rs
+++ b/standin/src/prepared/target.rs
@@ -149,14 +149,15 @@
         self.server.address
     }
 
-    /// Returns the target's record in the store, with `zone` as its availability zone.
+    /// Returns the target's record in the store, with `zone` as its availability zone. Each
+    /// crash starts a new run.
     #[must_use]
     pub fn target_record(&self, zone: &str, leaving: bool) -> Vec<u8> {
         let state = if leaving { "draining" } else { "ready" };
         json!({
             "service": self.service, "address": self.address(), "zone": zone,
             "version": "v1", "slots": 6, "state": state, "warmup_left_ms": 0,
-            "sequence": 1, "born": 1,
+            "sequence": 1, "born": 1 + self.record.get().crashes,
         })
         .to_string()
         .into_bytes()
--- a/tests/entry_crashes/mod.rs
+++ b/tests/entry_crashes/mod.rs
@@ -15,6 +15,13 @@
         }
     }
 
+    /// Registers the targets, of which those that crashed have started again.
+    fn register_targets(&self) {
+        for number in 0..self.targets().len() {
+            self.put_target(number, false);
+        }
+    }
+
     fn crashes(&self) -> u32 {
         let records = self.targets().iter().map(|target| target.record.get());
         records.map(|record| record.crashes).sum()
@@ -38,12 +45,15 @@
     // Until as many targets crashed, at most one more of each instance.
     for number in 0..MAX_CRASHES {
         tokio::time::sleep(Duration::from_millis(1200)).await;
+        cluster.register_targets();
+        tokio::time::sleep(Duration::from_millis(600)).await;
         if cluster.crashes() < MAX_CRASHES {
             let id = format!("more-{number}");
             cluster.get(0, "/once/crash", &id).await;
         }
     }
     tokio::time::sleep(Duration::from_millis(1200)).await;
+    cluster.print_logs();
     let before = cluster.crashes();
     assert!(before >= MAX_CRASHES, "{before}");
     for instance in 0..3 {
@@ -76,8 +86,11 @@
         for request in beside {
             request.await.unwrap();
         }
-        tokio::time::sleep(Duration::from_millis(700)).await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        cluster.register_targets();
+        tokio::time::sleep(Duration::from_millis(600)).await;
     }
+    cluster.print_logs();
     let before = cluster.crashes();
     let resp = cluster.get(0, "/safe/crash", "again").await;
     assert_eq!(resp.status, 503, "{before} crashes: {resp:?}");
