Order configurations by their versions alone

Cause: after a restore, an instance that starts reads an older configuration from the copy, at a revision that may be higher than the one at which its peers keep the newer version. Evidence: tests/entry an_instance_started_after_a_restore_takes_the_newer_configuration_of_a_ peer failed on it (version 8 not in force after 30 s). Change: a configuration is taken if its version is newer, whatever its revision. Why it works: versions rise across eras.

--- a/src/entry/replica.rs
+++ b/src/entry/replica.rs
@@ -8,6 +8,7 @@
 //! They are comparable only within an era, which ends with each restore; a complete read
 //! of a later era replaces everything but a newer configuration.
 
+use std::cmp::Ordering;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -184,7 +185,7 @@
         self.tombstones_from = delta.revision;
         for entry in self.entries.values_mut() {
             entry.revision = match entry.record {
-                Record::Configuration(_) => 1,
+                Record::Configuration(_) => delta.revision,
                 _ => 0,
             };
         }
@@ -197,13 +198,7 @@
             let Some(Record::Configuration(configuration)) = change.record else {
                 return None;
             };
-            let applied = self.update_configuration(configuration.clone())?;
-            let entry = Entry {
-                revision: self.revision,
-                record: Record::Configuration(configuration),
-            };
-            self.entries.insert(change.key, entry);
-            Some(applied)
+            self.apply_configuration(change.key, self.revision, configuration)
         })
     }
 
@@ -223,6 +218,9 @@
     }
 
     fn apply_change(&mut self, change: Change) -> Option<Applied> {
+        if let Some(Record::Configuration(configuration)) = change.record {
+            return self.apply_configuration(change.key, change.revision, configuration);
+        }
         if self
             .entries
             .get(&change.key)
@@ -240,41 +238,40 @@
         let Some(record) = change.record else {
             return self.remove(change.key, change.revision);
         };
-        if let Record::Configuration(configuration) = &record
-            && self.is_outdated(configuration)
-        {
-            return None;
-        }
         let entry = Entry {
             revision: change.revision,
             record: record.clone(),
         };
         let previous = self.entries.insert(change.key.clone(), entry);
-        if let Record::Configuration(configuration) = record {
-            return self.update_configuration(configuration);
-        }
         (previous.as_ref().map(|entry| &entry.record) != Some(&record))
             .then_some(Applied::Put(change.key, record))
     }
 
-    fn update_configuration(&mut self, configuration: Arc<Configuration>) -> Option<Applied> {
-        let is_newer = self
-            .configuration
-            .as_ref()
-            .is_none_or(|present| present.version < configuration.version);
-        is_newer.then(|| {
+    /// Configurations are ordered by their versions: a restored store may have an older one
+    /// at a higher revision, which peers must not get from here either.
+    fn apply_configuration(
+        &mut self,
+        key: Arc<str>,
+        revision: u64,
+        configuration: Arc<Configuration>,
+    ) -> Option<Applied> {
+        let present = self.configuration.as_ref();
+        let order = present.map(|present| configuration.version.cmp(&present.version));
+        if order == Some(Ordering::Less) {
+            return None;
+        }
+        let known_revision = self.revision_of(&key).unwrap_or_default();
+        let entry = Entry {
+            revision: known_revision.max(revision),
+            record: Record::Configuration(configuration.clone()),
+        };
+        self.entries.insert(key, entry);
+        (order != Some(Ordering::Equal)).then(|| {
             self.configuration = Some(configuration.clone());
             Applied::Configuration(configuration)
         })
     }
 
-    /// Whether a configuration is older than the one in force. Peers must not get it from
-    /// here either.
-    fn is_outdated(&self, configuration: &Configuration) -> bool {
-        let present = self.configuration.as_ref();
-        present.is_some_and(|present| present.version > configuration.version)
-    }
-
     /// Removes a record. The configuration stays, so that peers still get it from here.
     fn remove(&mut self, key: Arc<str>, revision: u64) -> Option<Applied> {
         let present = self.entries.get(&key).map(|entry| &entry.record);
--- a/src/entry/replica/tests.rs
+++ b/src/entry/replica/tests.rs
@@ -290,3 +290,22 @@
         Ok(())
     });
 }
+
+#[test]
+fn a_peer_that_read_an_older_configuration_from_a_copy_gets_the_newer_one() {
+    let copy = || Delta {
+        era: 1,
+        ..delta(6, true, vec![change("c", 6, Some(configuration(6)))])
+    };
+    let mut ahead = Replica::default();
+    ahead.apply(delta(
+        10,
+        false,
+        vec![change("c", 9, Some(configuration(8)))],
+    ));
+    ahead.apply(copy());
+    let mut started = Replica::default();
+    started.apply(copy());
+    started.apply(ahead.delta_since(Position::default()));
+    assert_eq!(started.configuration().unwrap().version, 8);
+}
--- a/tests/entry_restore/mod.rs
+++ b/tests/entry_restore/mod.rs
@@ -74,6 +74,22 @@
     }
 }
 
+#[tokio::test]
+async fn an_instance_started_after_a_restore_takes_the_newer_configuration_of_a_peer() {
+    let mut cluster = EntryCluster::start(2, 1).await;
+    let copy = cluster.store.copy();
+    cluster.configure(8, &["/safe/", "/once/", "/late/"]);
+    for instance in 0..2 {
+        cluster.wait_for_version(instance, 8).await;
+    }
+    cluster.kill(1);
+    cluster.store.restore(&copy);
+    cluster.launch(1);
+    cluster.wait_for_version(1, 8).await;
+    let resp = cluster.get(1, "/late/x", "restarted").await;
+    assert_eq!(resp.status, 200, "{resp:?}");
+}
+
 #[tokio::test]
 async fn a_target_that_left_and_is_ready_in_a_restored_copy_gets_no_requests() {
     let cluster = EntryCluster::start(2, 3).await;
