Log the limit that a target names, and what was sent to it

Cause: the log can't tell the hypotheses of the LIMIT incident apart: the header is not read, or health checks count. No decision changes.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -34,6 +34,7 @@
 mod shared;
 mod state;
 pub(crate) mod sync;
+pub(crate) mod target_limit;
 pub(crate) mod targets;
 pub(crate) mod upload;
 pub(crate) mod wait_queue;
--- a/src/entry/probe.rs
+++ b/src/entry/probe.rs
@@ -8,6 +8,7 @@
 
 use super::message::{Health, TargetReport};
 use super::shared::Shared;
+use super::state::State;
 use super::targets::TargetState;
 use crate::http1::client::{Conn, ExchangeError, OutgoingRequest, Response};
 use crate::names::TargetId;
@@ -91,6 +92,7 @@
         return;
     };
     shared.metrics.probes.inc();
+    shared.state().record_sent(shared.now(), key);
     let conn = connections.take(id);
     let result =
         tokio::time::timeout(timeout, check_or_connect(conn, address, path, timeout)).await;
@@ -101,6 +103,7 @@
     let report = target_report(key, id, response.as_ref());
     let now = shared.now();
     let mut state = shared.state();
+    record_named_limit(&mut state, now, &report, response.as_ref());
     let before = state.targets.get(id).map(|view| view.health);
     state.record_probe(now, report);
     drop(state);
@@ -128,6 +131,7 @@
     // Other calls on a crashed target break off too.
     tokio::time::sleep(BROKEN_CALL_CHECK_DELAY).await;
     shared.metrics.probes.inc();
+    shared.state().record_sent(shared.now(), key);
     let checking = check_or_connect(None, address, &path, timeout);
     let response = match tokio::time::timeout(timeout, checking).await {
         Ok(Ok((response, _))) => Some(response),
@@ -135,7 +139,9 @@
     };
     let report = target_report(key, &id, response.as_ref());
     let now = shared.now();
-    shared.state().record_probe(now, report);
+    let mut state = shared.state();
+    record_named_limit(&mut state, now, &report, response.as_ref());
+    state.record_probe(now, report);
 }
 
 async fn check_or_connect(
@@ -171,6 +177,21 @@
     conn.exchange(&outgoing, |_| true).await
 }
 
+/// Records the limit that a target named in the response to a health check.
+fn record_named_limit(
+    state: &mut State,
+    now: Time,
+    report: &TargetReport,
+    response: Option<&Response>,
+) {
+    if report.health != Health::Unreachable
+        && let Some(response) = response
+    {
+        let meta = wire::response_meta(response.status, &response.headers);
+        state.record_limit(now, report.target, meta.limit);
+    }
+}
+
 fn target_report(key: u64, id: &TargetId, response: Option<&Response>) -> TargetReport {
     let mut report = TargetReport {
         target: key,
--- a/src/entry/selection.rs
+++ b/src/entry/selection.rs
@@ -129,6 +129,7 @@
             return None;
         }
         view.checks.record(now);
+        view.limit.record_sent(now);
         let service = view.target.service.clone();
         let configuration = self.replica.configuration()?;
         Some(configuration.services.get(&service)?.health_path.clone())
@@ -240,6 +241,7 @@
             report_age: view.load_report.map(|report| now.since(report.at)),
         };
         view.in_flight += 1;
+        view.limit.record_sent(now);
         if view.is_cold(now) {
             view.record_cold_request(now);
         }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -408,6 +408,28 @@
         self.reports.insert(report.target, own);
     }
 
+    /// Records a health check to a target's run.
+    pub(crate) fn record_sent(&mut self, now: Time, run: u64) {
+        if let Some(view) = self.targets.run_mut(run) {
+            view.limit.record_sent(now);
+        }
+    }
+
+    /// Records the limit that a response of a target's run named, or that it named none.
+    pub(crate) fn record_limit(&mut self, now: Time, run: u64, per_second: Option<f64>) {
+        let Some(view) = self.targets.run_mut(run) else {
+            return;
+        };
+        if view.limit.record_named(now, per_second) {
+            tracing::info!(
+                target_id = %view.target.id,
+                per_second,
+                sent = view.limit.sent(now),
+                "limit of a target changed"
+            );
+        }
+    }
+
     /// Records the crash of an unreachable target against the requests whose
     /// connections to it broke.
     fn record_crash_if_unreachable(&mut self, now: Time, report: &TargetReport) {
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -13,6 +13,7 @@
 use super::model::{Record, Target};
 use super::placement::Candidate;
 use super::replica::Applied;
+use super::target_limit::TargetLimit;
 use super::window::{COLD_WINDOW, SlidingWindow};
 use crate::names::{ServiceName, TargetId, ZoneName};
 use crate::units::Time;
@@ -69,6 +70,8 @@
     failure_rate: f64,
     failure_rate_at: Time,
     cold_requests: SlidingWindow,
+    /// Limit that it names, and what this instance has sent to it.
+    pub limit: TargetLimit,
     /// Checks by this instance right before requests.
     pub checks: SlidingWindow,
     /// This instance's rank for it, with the generation of the members that it holds for.
@@ -106,6 +109,7 @@
             failure_rate: 0.0,
             failure_rate_at: now,
             cold_requests: SlidingWindow::default(),
+            limit: TargetLimit::default(),
             checks: SlidingWindow::default(),
             cold_rank: None,
         }
--- a/src/platform/prepared/wire.rs
+++ b/src/platform/prepared/wire.rs
@@ -24,6 +24,8 @@
 const RESPONDING_TARGET: &str = "x-instance-id";
 /// Header with the rest of the target's warm-up, in milliseconds.
 const WARMUP_MS: &str = "x-warmup-ms";
+/// Header with the requests a second that a target accepts from all instances together.
+const LIMIT: &str = "server-limit";
 /// Header of the store's responses with the number of times that it was restored from a
 /// copy.
 const STORE_ERA: &str = "store-era";
@@ -57,6 +59,9 @@
     pub load: Option<Load>,
     /// Rest of the target's warm-up.
     pub cold_for: Option<Duration>,
+    /// Requests a second that the target accepts from all instances together; `None` if
+    /// it names no limit.
+    pub limit: Option<f64>,
     /// Time after which the target closes an idle connection.
     pub idle_for: Option<Duration>,
 }
@@ -81,6 +86,7 @@
             .get(LOAD)
             .and_then(|value| parse_load(value.to_str().ok()?)),
         cold_for: number(headers, WARMUP_MS).map(Duration::from_millis),
+        limit: text(headers, LIMIT).and_then(|value| parse_limit(&value)),
         idle_for: text(headers, "keep-alive").and_then(|value| parse_idle_timeout(&value)),
     }
 }
@@ -134,6 +140,12 @@
     })
 }
 
+/// Parses a rate; one that is not a number of at least 0 is none.
+fn parse_limit(text: &str) -> Option<f64> {
+    let rate: f64 = text.trim().parse().ok()?;
+    (rate.is_finite() && rate >= 0.0).then_some(rate)
+}
+
 /// Returns the `timeout` parameter of a `Keep-Alive` header.
 fn parse_idle_timeout(keep_alive: &str) -> Option<Duration> {
     let seconds = keep_alive
--- a/src/platform/prepared/wire/tests.rs
+++ b/src/platform/prepared/wire/tests.rs
@@ -22,6 +22,7 @@
         ("x-server-load", "3,1,8,250"),
         ("x-instance-id", "i-1"),
         ("x-warmup-ms", "1200"),
+        ("server-limit", "2.4"),
         ("keep-alive", "max=5, timeout=10"),
     ]);
     insta::assert_debug_snapshot!(response_meta(200, &all));
@@ -42,6 +43,15 @@
     }
 }
 
+#[test]
+fn a_limit_is_a_number_of_at_least_zero() {
+    assert_eq!(parse_limit(" 3.7"), Some(3.7));
+    assert_eq!(parse_limit("0"), Some(0.0));
+    for invalid in ["", "-1", "NaN", "inf", "2,4"] {
+        assert_eq!(parse_limit(invalid), None, "{invalid}");
+    }
+}
+
 #[test]
 fn only_the_header_or_status_421_means_not_run() {
     let not_executed = headers(&[("x-not-executed", "1")]);
