--- a/standin/src/prepared/target.rs
+++ b/standin/src/prepared/target.rs
@@ -56,6 +56,8 @@
     /// Time for which the target is down after it began to run a request whose path
     /// contains `crash`; zero if such requests run like others.
     pub crash_duration: Duration,
+    /// Limit in requests a second that every response names; `None` for none.
+    pub limit: Option<f64>,
 }
 
 /// Counts of the requests that a target received, by their identifiers.
@@ -75,6 +77,8 @@
     pub broken_bodies: u32,
     /// Number of crashes.
     pub crashes: u32,
+    /// When requests and health checks arrived, in order.
+    pub arrival_times: Vec<Instant>,
 }
 
 /// A running target; it stops when it is dropped.
@@ -174,6 +178,7 @@
             read_pause: Duration::ZERO,
             shed_first: None,
             crash_duration: Duration::ZERO,
+            limit: None,
         }
     }
 }
@@ -190,6 +195,18 @@
     if cx.is_down() {
         return None;
     }
+    cx.record
+        .change(|record| record.arrival_times.push(Instant::now()));
+    let mut resp = respond(cx, req).await?;
+    if let Some(limit) = cx.state.get().limit
+        && let Ok(value) = HeaderValue::from_str(&limit.to_string())
+    {
+        resp.headers_mut().insert("server-limit", value);
+    }
+    Some(resp)
+}
+
+async fn respond(cx: &TargetContext, req: Request<Incoming>) -> Option<Response<Body>> {
     let state = cx.state.get();
     let load = format!("0,0,6,{}", state.slowness_percent);
     if req.uri().path() == "/health" {
