Let only the prober of a limited target send to it, within the limit

Targets saw: one that had named a limit of 2.4 requests a second got 62 in 4 s, allowed 19. Cause: nothing read Server-Limit, and health checks count among what a target gets; ten probes a second alone exceed such a limit. The class: a bound over all instances of which each knows only its own part.

Change: of the instances that know of the limit only the target's prober sends to it, requests and health checks together, at most half of what the rule allows in 4.3 s; a new prober waits until what an earlier one sent has left the window; heartbeats carry limits and their end behind what earlier releases read. Why it works: at most two instances with different views send at a time, and no message has to arrive for it.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -303,7 +303,7 @@
                 view.set_cold_for(now, left);
             }
         }
-        state.record_limit(now, choice.run, meta.limit);
+        state.record_limit(now, now, choice.run, meta.limit);
         state.confirm_choice(now, choice, &plan.requirements, &plan.tried)
     };
     if confirmed && conn.conn.is_reusable() {
@@ -374,7 +374,7 @@
             if response.status == 421 {
                 view.mark_down(now);
             } else {
-                state.record_limit(now, choice.run, meta.limit);
+                state.record_limit(now, now, choice.run, meta.limit);
             }
         }
         if let Some(view) = state.targets.run_mut(choice.run)
--- a/src/entry/digest/tests.rs
+++ b/src/entry/digest/tests.rs
@@ -70,6 +70,7 @@
         member: None,
         cases: Vec::new(),
         evidence: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/src/entry/endpoints.rs
+++ b/src/entry/endpoints.rs
@@ -81,7 +81,7 @@
                 "zone": view.target.zone,
                 "leaving": view.target.leaving,
                 "cold": candidate.cold,
-                "limit_per_second": view.limit.per_second(),
+                "limit_per_second": view.limit.per_second(now),
                 "healthy": candidate.healthy,
                 "in_flight": view.in_flight,
                 "occupied": candidate.occupied,
--- a/src/entry/members/tests.rs
+++ b/src/entry/members/tests.rs
@@ -31,6 +31,7 @@
         member: None,
         cases: Vec::new(),
         evidence: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/src/entry/message.rs
+++ b/src/entry/message.rs
@@ -10,6 +10,7 @@
 use super::load::Load;
 use super::members::InstanceStatus;
 use super::replica::{Delta, Position};
+use super::target_limit::NamedLimit;
 use crate::dispatch::quarantine::{Case, Evidence};
 use crate::names::ZoneName;
 
@@ -21,6 +22,8 @@
 pub const MAX_RELAYED: usize = 8;
 /// Maximum quarantine cases in a heartbeat.
 pub const MAX_CASES: usize = 4;
+/// Maximum limits of targets in a heartbeat.
+pub const MAX_LIMITS: usize = 4;
 /// Maximum frame size over TCP: a full configuration and all targets.
 pub const MAX_FRAME: usize = 16 << 20;
 
@@ -90,6 +93,9 @@
     /// them.
     #[serde(skip)]
     pub evidence: Vec<Evidence>,
+    /// Limits that targets name or named lately, encoded like `evidence`.
+    #[serde(skip)]
+    pub limits: Vec<NamedLimit>,
 }
 
 /// Status of an instance in another zone, as told in the zone of the receiver.
@@ -139,6 +145,8 @@
     relayed_eras: Vec<u64>,
     /// Crashes of the requests that the sender suspects.
     evidence: Vec<Evidence>,
+    /// Limits of targets.
+    limits: Vec<NamedLimit>,
 }
 
 /// Encodes a heartbeat. Statuses of other zones' instances, for peers in the same zone,
@@ -154,6 +162,7 @@
         era: heartbeat.status.era,
         relayed_eras: relayed.iter().map(|relayed| relayed.status.era).collect(),
         evidence: heartbeat.evidence.clone(),
+        limits: heartbeat.limits.clone(),
     };
     let mut bytes = encode(&Datagram::Heartbeat(heartbeat))?;
     bytes.extend(postcard::to_stdvec(relayed)?);
@@ -177,6 +186,7 @@
         if let Datagram::Heartbeat(heartbeat) = &mut datagram {
             heartbeat.status.era = extension.era;
             heartbeat.evidence = extension.evidence;
+            heartbeat.limits = extension.limits;
         }
         for (relayed, era) in relayed.iter_mut().zip(extension.relayed_eras) {
             relayed.status.era = era;
--- a/src/entry/message/tests.rs
+++ b/src/entry/message/tests.rs
@@ -92,6 +92,14 @@
             };
             MAX_CASES
         ],
+        limits: vec![
+            NamedLimit {
+                target: u64::MAX,
+                per_second: Some(2.4),
+                age_ms: u16::MAX,
+            };
+            MAX_LIMITS
+        ],
     };
     let bytes = encode_heartbeat(heartbeat.clone(), &[]).unwrap();
     assert!(bytes.len() <= MAX_DATAGRAM, "{}", bytes.len());
@@ -111,6 +119,7 @@
         member: None,
         cases: Vec::new(),
         evidence: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/src/entry/probe.rs
+++ b/src/entry/probe.rs
@@ -65,7 +65,13 @@
             return;
         }
         self.last_round = Some(now);
-        let targets = self.shared.state().targets_to_probe(now);
+        let targets = {
+            let mut state = self.shared.state();
+            let targets = state.targets_to_probe(now);
+            let probed = targets.iter().map(|(id, ..)| id.clone()).collect();
+            state.targets.set_probed(now, &probed);
+            targets
+        };
         self.connections.retain_own(&targets);
         for (id, address, path) in targets {
             if self.connections.try_start(&id) {
@@ -88,11 +94,17 @@
     path: &str,
     timeout: Duration,
 ) {
-    let Some(key) = shared.state().targets.get(id).map(|view| view.key) else {
-        return;
+    let key = {
+        let mut state = shared.state();
+        let Some(key) = state.targets.get(id).map(|view| view.key) else {
+            return;
+        };
+        if !state.try_check(shared.now(), key) {
+            return;
+        }
+        key
     };
     shared.metrics.probes.inc();
-    shared.state().record_sent(shared.now(), key);
     let conn = connections.take(id);
     let result =
         tokio::time::timeout(timeout, check_or_connect(conn, address, path, timeout)).await;
@@ -130,8 +142,10 @@
     };
     // Other calls on a crashed target break off too.
     tokio::time::sleep(BROKEN_CALL_CHECK_DELAY).await;
+    if !shared.state().try_check(shared.now(), key) {
+        return;
+    }
     shared.metrics.probes.inc();
-    shared.state().record_sent(shared.now(), key);
     let checking = check_or_connect(None, address, &path, timeout);
     let response = match tokio::time::timeout(timeout, checking).await {
         Ok(Ok((response, _))) => Some(response),
@@ -188,7 +202,7 @@
         && let Some(response) = response
     {
         let meta = wire::response_meta(response.status, &response.headers);
-        state.record_limit(now, report.target, meta.limit);
+        state.record_limit(now, now, report.target, meta.limit);
     }
 }
 
--- a/src/entry/selection.rs
+++ b/src/entry/selection.rs
@@ -55,6 +55,7 @@
     with_room: usize,
     full: usize,
     cold: usize,
+    limited: usize,
     down: usize,
     evacuated: usize,
     leaving: usize,
@@ -125,7 +126,8 @@
         let (window, max_rate) = (settings.window, self.settings.max_probe_rate);
         let allowance = precheck::allowance(max_rate, self.instances(), settings);
         let view = self.targets.run_mut(choice.run)?;
-        if view.checks.count(now, window) >= allowance {
+        let is_limited = view.limit.per_second(now).is_some();
+        if is_limited || view.checks.count(now, window) >= allowance {
             return None;
         }
         view.checks.record(now);
@@ -196,8 +198,12 @@
             let unusable_reason = view.unusable_reason(now, evacuated, allowance);
             let is_tried = tried.contains(&view.target.id);
             match unusable_reason {
-                Some(UnusableReason::Leaving | UnusableReason::Evacuated) => {}
-                Some(UnusableReason::Cold) => classified.full = true,
+                Some(
+                    UnusableReason::Leaving
+                    | UnusableReason::Evacuated
+                    | UnusableReason::LimitedElsewhere,
+                ) => {}
+                Some(UnusableReason::Cold | UnusableReason::Limited) => classified.full = true,
                 _ if is_tried => classified.tried = true,
                 _ if view.is_out_of_connections(max_connections) => classified.full = true,
                 Some(UnusableReason::Down) => classified.down.push(view.target.id.clone()),
@@ -223,6 +229,9 @@
                 Some(UnusableReason::Evacuated) => counts.evacuated += 1,
                 Some(UnusableReason::Down) => counts.down += 1,
                 Some(UnusableReason::Cold) => counts.cold += 1,
+                Some(UnusableReason::Limited | UnusableReason::LimitedElsewhere) => {
+                    counts.limited += 1;
+                }
                 None if !placement::has_capacity(&candidate, &settings) => counts.full += 1,
                 None => counts.with_room += 1,
             }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -12,12 +12,15 @@
 
 use super::directory::{self, DirectoryEntry};
 use super::members::{InstanceStatus, Members, PendingUpdates};
-use super::message::{Health, Heartbeat, MAX_CASES, MAX_REPORTS, RelayedStatus, TargetReport};
+use super::message::{
+    Health, Heartbeat, MAX_CASES, MAX_LIMITS, MAX_REPORTS, RelayedStatus, TargetReport,
+};
 use super::model::{CallerLimits, Record, Route};
 use super::replica::{Applied, Delta, Replica};
 use super::routes::{RouteTable, WeightedSplitter};
 use super::service_time::ServiceTimes;
 use super::settings::{EntrySettings, Tuning};
+use super::target_limit::NamedLimit;
 use super::targets::TargetTable;
 use super::wait_queue::WaitQueue;
 use super::watchers::{StoreAccess, should_watch, watching};
@@ -408,22 +411,23 @@
         self.reports.insert(report.target, own);
     }
 
-    /// Records a health check to a target's run.
-    pub(crate) fn record_sent(&mut self, now: Time, run: u64) {
-        if let Some(view) = self.targets.run_mut(run) {
-            view.limit.record_sent(now);
-        }
+    /// Whether a health check may be sent to a target's run now; records it if so.
+    pub(crate) fn try_check(&mut self, now: Time, run: u64) -> bool {
+        let view = self.targets.run_mut(run);
+        view.is_some_and(|view| view.limit.try_check(now))
     }
 
-    /// Records the limit that a response of a target's run named, or that it named none.
-    pub(crate) fn record_limit(&mut self, now: Time, run: u64, per_second: Option<f64>) {
+    /// Records the limit that a response of a target's run named at `at`, or that it named
+    /// none.
+    pub(crate) fn record_limit(&mut self, now: Time, at: Time, run: u64, per_second: Option<f64>) {
         let Some(view) = self.targets.run_mut(run) else {
             return;
         };
-        if view.limit.record_named(now, per_second) {
+        if view.limit.record_named(at, per_second) {
             tracing::info!(
                 target_id = %view.target.id,
                 per_second,
+                age_ms = u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX),
                 sent = view.limit.sent(now),
                 "limit of a target changed"
             );
@@ -504,6 +508,7 @@
             member: self.member_to_share(now),
             cases,
             evidence,
+            limits: self.limits_to_send(now),
         };
         DueHeartbeat {
             relayed: self.members.statuses_to_relay(now, &heartbeat.zone),
@@ -540,6 +545,16 @@
         })
     }
 
+    /// The limits of targets for the next heartbeat, in turn.
+    fn limits_to_send(&self, now: Time) -> Vec<NamedLimit> {
+        let limits = self.targets.named_limits(now);
+        let first = (self.heartbeats_sent * MAX_LIMITS)
+            .checked_rem(limits.len())
+            .unwrap_or_default();
+        let count = MAX_LIMITS.min(limits.len());
+        limits.into_iter().cycle().skip(first).take(count).collect()
+    }
+
     /// One of the live peers in turn, in every [`MEMBER_EVERY`]th heartbeat.
     fn member_to_share(&self, now: Time) -> Option<(SocketAddr, ZoneName)> {
         if !self.heartbeats_sent.is_multiple_of(MEMBER_EVERY) {
@@ -563,6 +578,10 @@
             self.targets.apply_report(now, report);
             self.record_crash_if_unreachable(now, report);
         }
+        for limit in &heartbeat.limits {
+            let at = now.before(Duration::from_millis(limit.age_ms.into()));
+            self.record_limit(now, at, limit.target, limit.per_second);
+        }
         for evidence in &heartbeat.evidence {
             let before = self.quarantine.crashes(evidence.fingerprint);
             if self.quarantine.merge_evidence(now, evidence) {
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -13,7 +13,7 @@
 use super::model::{Record, Target};
 use super::placement::Candidate;
 use super::replica::Applied;
-use super::target_limit::TargetLimit;
+use super::target_limit::{LimitDecision, NamedLimit, TargetLimit};
 use super::window::{COLD_WINDOW, SlidingWindow};
 use crate::names::{ServiceName, TargetId, ZoneName};
 use crate::units::Time;
@@ -89,6 +89,10 @@
     Down,
     /// It is cold, and this instance's share of its warm-up rate is used up.
     Cold,
+    /// It names a limit, which is used up for now.
+    Limited,
+    /// It names a limit, which another instance uses.
+    LimitedElsewhere,
 }
 
 impl TargetState {
@@ -237,6 +241,11 @@
         if evacuated.contains(&self.target.zone) {
             return Some(UnusableReason::Evacuated);
         }
+        match self.limit.decide(now) {
+            LimitDecision::Send => {}
+            LimitDecision::UsedUp => return Some(UnusableReason::Limited),
+            LimitDecision::Elsewhere => return Some(UnusableReason::LimitedElsewhere),
+        }
         if self.is_down(now) {
             return Some(UnusableReason::Down);
         }
@@ -460,6 +469,22 @@
         self.views.get_mut(id)
     }
 
+    /// Sets which targets this instance probes.
+    pub fn set_probed(&mut self, now: Time, probed: &IndexSet<TargetId>) {
+        for (id, view) in &mut self.views {
+            view.limit.set_prober(now, probed.contains(id));
+        }
+    }
+
+    /// The limits that targets name or named lately.
+    #[must_use]
+    pub fn named_limits(&self, now: Time) -> Vec<NamedLimit> {
+        let views = self.views.values();
+        views
+            .filter_map(|view| view.limit.named(now, view.key))
+            .collect()
+    }
+
     /// The views of all targets.
     pub fn views(&self) -> impl Iterator<Item = &TargetState> {
         self.views.values()
