Give up responses without end

Cause: bytes that are no answer may come without end, in a head or a body. Informational responses and responses to other requests were skipped without a limit, until the deadline; a body was read up to 64 MiB, each, so that a few used the memory of a small instance up. Evidence: http1::tests a_response_without_end_is_given_up failed before (still reading after 20 s, at informational responses). Change: at most 16 responses are skipped; a target's response has at most 8 MiB, and those being read hold at most an eighth of the memory, without the first 64 KiB of each.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -22,8 +22,8 @@
 use crate::names::TargetId;
 use crate::platform::prepared::wire::{self, RequestMeta};
 
-/// Maximum body of a response, in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Maximum body of a response, in bytes: some times the largest downloads.
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Keys of the fingerprint hash; every instance must use the same.
 const HASH_KEYS: (u64, u64) = (0x7265_7175_6573_745f, 0x6669_6e67_6572_7072);
 
@@ -221,6 +221,7 @@
         }),
         is_head: outbound.is_head,
         max_response_bytes: MAX_RESPONSE_BYTES,
+        memory: Some(&shared.response_memory),
     };
     let matches_request = |response: &Response| {
         wire::response_meta(response.status, &response.headers)
--- a/src/entry/outcome.rs
+++ b/src/entry/outcome.rs
@@ -64,8 +64,10 @@
         match err {
             BodyError::Malformed(_) => Self::BodyMalformed,
             BodyError::TooLarge(_) => Self::BodyTooLarge,
-            BodyError::Stalled(_) | BodyError::Truncated(_) if not_run => Self::BodyTimedOut,
-            BodyError::Stalled(_) | BodyError::Truncated(_) => Self::Lost,
+            BodyError::Stalled(_) | BodyError::Truncated(_) | BodyError::NoMemory if not_run => {
+                Self::BodyTimedOut
+            }
+            BodyError::Stalled(_) | BodyError::Truncated(_) | BodyError::NoMemory => Self::Lost,
         }
     }
 
--- a/src/entry/probe.rs
+++ b/src/entry/probe.rs
@@ -187,6 +187,7 @@
         body: None,
         is_head: false,
         max_response_bytes: MAX_RESPONSE_BYTES,
+        memory: None,
     };
     conn.exchange(&outgoing, |_| true).await
 }
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -7,6 +7,7 @@
 use super::metrics::EntryMetrics;
 use super::pool::Pool;
 use super::state::State;
+use crate::http1::body::ResponseMemory;
 use crate::http1::request_body::BodyMemory;
 use crate::units::{Clock, Time};
 
@@ -27,12 +28,16 @@
     pub metrics: EntryMetrics,
     /// Memory for the bodies of requests.
     pub body_memory: Arc<BodyMemory>,
+    /// Memory for the responses of targets that are being read.
+    pub response_memory: ResponseMemory,
 }
 
 impl Shared {
     pub(crate) fn new(state: State, clock: Clock, metrics: EntryMetrics) -> Self {
         let body_memory = BodyMemory::new(MAX_HELD_BODY_BYTES, state.settings.body_memory);
+        let response_memory = ResponseMemory::new(state.settings.body_memory);
         Self {
+            response_memory,
             body_memory: Arc::new(body_memory),
             state: Mutex::new(state),
             clock,
--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -1,5 +1,6 @@
 //! Framing of message bodies, their incremental decoding, and reading whole bodies.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -12,6 +13,9 @@
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 /// Maximum number of trailers; they are dropped.
 const MAX_TRAILERS: usize = 64;
+/// Bytes of each response that are not counted in a [`ResponseMemory`], so that short
+/// responses are read even while it is used up.
+const FREE_BYTES: usize = 64 << 10;
 /// Maximum buffer space for one read of a body of known length.
 const MAX_READ_BYTES: usize = 64 << 10;
 
@@ -40,6 +44,9 @@
     /// The body is longer than allowed.
     #[display("the body exceeds the limit of {_0} bytes")]
     TooLarge(usize),
+    /// The memory for bodies is used up.
+    #[display("the memory for responses is used up")]
+    NoMemory,
     /// No byte of the rest of the body arrived within the idle timeout.
     #[display("no byte of the body arrived for {_0:?}")]
     Stalled(Duration),
@@ -251,22 +258,74 @@
     usize::from_str_radix(text, 16).map_err(|_| INVALID)
 }
 
+/// Memory for the responses that are being read, over all connections.
+#[derive(Debug)]
+pub(crate) struct ResponseMemory {
+    max: usize,
+    /// Bytes held beyond [`FREE_BYTES`] of each response.
+    held: AtomicUsize,
+}
+
+impl ResponseMemory {
+    /// Allows `max` bytes for all responses beyond the first 64 KiB of each.
+    pub(crate) fn new(max: usize) -> Self {
+        Self {
+            max,
+            held: AtomicUsize::new(0),
+        }
+    }
+}
+
+/// What one response holds of a [`ResponseMemory`].
+struct HeldMemory<'a> {
+    memory: Option<&'a ResponseMemory>,
+    held: usize,
+}
+
+impl HeldMemory<'_> {
+    /// Accounts for a body of `bytes` so far.
+    fn grow_to(&mut self, bytes: usize) -> Result<(), BodyError> {
+        let Some(memory) = self.memory else {
+            return Ok(());
+        };
+        let more = bytes.saturating_sub(FREE_BYTES).saturating_sub(self.held);
+        self.held += more;
+        let before = memory.held.fetch_add(more, Ordering::Relaxed);
+        if more > 0 && before + more > memory.max {
+            return Err(BodyError::NoMemory);
+        }
+        Ok(())
+    }
+}
+
+impl Drop for HeldMemory<'_> {
+    fn drop(&mut self) {
+        if let Some(memory) = self.memory {
+            memory.held.fetch_sub(self.held, Ordering::Relaxed);
+        }
+    }
+}
+
 /// Reads a whole body; bytes that follow it stay in `buf`.
 ///
 /// # Errors
-/// The body can't be read whole or is longer than `max` bytes, see [`BodyError`].
+/// The body can't be read whole, is longer than `max` bytes or exceeds `memory`, see
+/// [`BodyError`].
 pub(crate) async fn read_body<R: AsyncRead + Unpin>(
     rx: &mut R,
     buf: &mut BytesMut,
     framing: Framing,
     max: usize,
+    memory: Option<&ResponseMemory>,
 ) -> Result<Bytes, BodyError> {
+    let mut held = HeldMemory { memory, held: 0 };
     if let Framing::Length(length) = framing
         && length <= max
     {
         // Without copying the body.
         while buf.len() < length {
             fill(rx, buf, (length - buf.len()).min(MAX_READ_BYTES)).await?;
+            held.grow_to(buf.len())?;
         }
         return Ok(buf.split_to(length).freeze());
     }
@@ -274,7 +333,10 @@
     let mut body = BytesMut::new();
     loop {
         match decoder.decode(buf, usize::MAX)? {
-            Decoded::Data(data) => body.extend_from_slice(&data),
+            Decoded::Data(data) => {
+                held.grow_to(body.len() + data.len())?;
+                body.extend_from_slice(&data);
+            }
             Decoded::End => return Ok(body.freeze()),
             Decoded::Incomplete => match fill(rx, buf, READ_BYTES).await {
                 Ok(()) => {}
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 
-use super::body::{BodyError, Framing, declared_framing, read_body};
+use super::body::{BodyError, Framing, ResponseMemory, declared_framing, read_body};
 use super::request_body::{ReadError, RequestBody};
 use super::{MAX_HEADERS, READ_BYTES, connection_lists, header_map};
 
@@ -19,6 +19,9 @@
 const MAX_PIECE_BYTES: usize = 16 << 10;
 /// Largest head of a response, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Most informational responses, and responses to other requests, before the one that a
+/// request waits for. A faulty server may send them without end.
+const MAX_SKIPPED_RESPONSES: usize = 16;
 /// Time after which a connection with unacknowledged bytes is ended. It allows a few
 /// round trips between regions, and is short compared with the deadline of a request.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -48,6 +51,8 @@
     pub is_head: bool,
     /// Largest response body that is accepted, in bytes.
     pub max_response_bytes: usize,
+    /// Memory for this and other responses; `None` if it is not limited.
+    pub memory: Option<&'a ResponseMemory>,
 }
 
 /// Body of an [`OutgoingRequest`].
@@ -254,7 +259,7 @@
     is_match: impl Fn(&Response) -> bool,
     reusable: &mut bool,
 ) -> Result<Response, ExchangeError> {
-    loop {
+    for _ in 0..=MAX_SKIPPED_RESPONSES {
         let (resp, keep_alive) = read_response(rx, buf, req).await?;
         *reusable &= keep_alive;
         if is_match(&resp) {
@@ -268,6 +273,9 @@
             ));
         }
     }
+    Err(ExchangeError::Malformed(
+        "too many responses to other requests",
+    ))
 }
 
 /// Reads one response, without the informational (1xx) ones before it. The flag is true
@@ -277,7 +285,7 @@
     buf: &mut BytesMut,
     req: &OutgoingRequest<'_>,
 ) -> Result<(Response, bool), ExchangeError> {
-    loop {
+    for _ in 0..=MAX_SKIPPED_RESPONSES {
         let (status, headers, is_http11) = read_head(rx, buf).await?;
         if (100..200).contains(&status) {
             continue;
@@ -287,7 +295,7 @@
             Some(framing) => framing,
             None => Framing::UntilClose,
         };
-        let body = read_body(rx, buf, framing, req.max_response_bytes).await?;
+        let body = read_body(rx, buf, framing, req.max_response_bytes, req.memory).await?;
         let keep_alive =
             is_http11 && framing != Framing::UntilClose && !connection_lists(&headers, "close");
         return Ok((
@@ -299,6 +307,7 @@
             keep_alive,
         ));
     }
+    Err(ExchangeError::Malformed("too many informational responses"))
 }
 
 async fn read_head(
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -243,6 +243,7 @@
             body: None,
             is_head: false,
             max_response_bytes: MAX_RESPONSE_BYTES,
+            memory: None,
         };
         let resp = match tokio::time::timeout(timeout, conn.exchange(&outgoing, |_| true)).await {
             Ok(resp) => {
