--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -122,6 +122,18 @@
     /// Writes the next version of the configuration.
     pub(crate) fn write_configuration(&mut self) {
         self.version += 1;
+        self.put_configuration();
+    }
+
+    /// Writes the configuration and the targets' records again.
+    pub(crate) fn write_again(&self) {
+        self.put_configuration();
+        for index in 0..self.targets.len() {
+            self.write_target_record(index, false);
+        }
+    }
+
+    fn put_configuration(&self) {
         let text = configuration(
             self.version,
             &["/safe/", "/once/", "/upload/"],
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -31,6 +31,9 @@
     /// Number of concurrent callers.
     #[arg(long, default_value_t = 12)]
     callers: usize,
+    /// Lets the store also return from copies, several times in each run.
+    #[arg(long)]
+    restores: bool,
     /// Directory for the logs of instances, written for seeds with violations.
     #[arg(long)]
     logs: Option<PathBuf>,
@@ -48,6 +51,7 @@
             instances: args.instances,
             targets: args.targets,
             callers: args.callers,
+            restores: args.restores,
             logs: args
                 .logs
                 .as_ref()
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -14,6 +14,9 @@
 /// so that they overlap.
 const MAX_START_GAP: Duration = Duration::from_millis(1500);
 
+/// Distinguishes the draws of restores from those of the other faults.
+const RESTORE_SEED: u64 = 1 << 63;
+
 /// State of the network link between two processes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum LinkState {
@@ -64,6 +67,8 @@
     StoreLosesResponses,
     /// The store compacts its history.
     StoreCompacts,
+    /// The store returns from a copy that was made when the fault began.
+    StoreRestored,
     /// One target has a fault.
     Target(usize, TargetFault),
     /// A new version of the configuration is written.
@@ -100,6 +105,7 @@
             | Self::Terminate(_)
             | Self::StoreLosesResponses
             | Self::StoreCompacts
+            | Self::StoreRestored
             | Self::ChangeConfiguration => None,
         }
     }
@@ -146,6 +152,24 @@
     schedule
 }
 
+/// Draws restores of the store, which are apart from the other faults of a seed.
+#[must_use]
+pub fn draw_restores(seed: u64, length: Duration) -> Vec<ScheduledFault> {
+    let mut rng = StdRng::seed_from_u64(seed ^ RESTORE_SEED);
+    let mut schedule = Vec::new();
+    let mut start = Duration::from_secs(1);
+    while start + MAX_FAULT_DURATION < length {
+        let duration = rng.random_range(MIN_FAULT_DURATION..MAX_FAULT_DURATION);
+        schedule.push(ScheduledFault {
+            start,
+            duration,
+            fault: Fault::StoreRestored,
+        });
+        start += duration + rng.random_range(Duration::ZERO..MAX_FAULT_DURATION);
+    }
+    schedule
+}
+
 fn draw_fault(rng: &mut StdRng, instances: usize, targets: usize) -> Fault {
     let instance = rng.random_range(0..instances);
     let target = rng.random_range(0..targets);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -7,7 +7,7 @@
 
 use rustix::process::Signal;
 use standin::faults::Shared;
-use standin::prepared::store::{Faults, Mode};
+use standin::prepared::store::{Faults, Mode, StoreCopy};
 
 use crate::callers::{self, CallerContext};
 use crate::check::{
@@ -53,6 +53,8 @@
     pub targets: usize,
     /// Number of concurrent callers.
     pub callers: usize,
+    /// Whether the store also returns from copies, several times.
+    pub restores: bool,
     /// Directory for the instances' logs if a check fails; they are dropped when `None`.
     pub logs: Option<PathBuf>,
 }
@@ -66,6 +68,7 @@
             instances: 4,
             targets: 5,
             callers: 12,
+            restores: false,
             logs: None,
         }
     }
@@ -79,12 +82,15 @@
     let cluster = Cluster::start(&options.program, options.instances, options.targets).await?;
     tokio::time::sleep(STARTUP_TIME).await;
     let mut run = Run::new(cluster, options);
-    let schedule = plan::draw(
+    let mut schedule = plan::draw(
         options.seed,
         options.length,
         options.instances,
         options.targets,
     );
+    if options.restores {
+        schedule.extend(plan::draw_restores(options.seed, options.length));
+    }
     let callers: Vec<_> = (0..options.callers)
         .map(|index| {
             let caller = callers::run_caller(run.caller_context.clone(), index, options.seed);
@@ -112,6 +118,8 @@
     disturbances: Vec<Disturbance>,
     versions: Vec<ObservedVersion>,
     polls: u32,
+    /// Copy of the store that it returns from at the end of a [`Fault::StoreRestored`].
+    copy: Option<StoreCopy>,
 }
 
 impl Run {
@@ -129,6 +137,7 @@
             disturbances: Vec::with_capacity(options.instances),
             versions: Vec::new(),
             polls: 0,
+            copy: None,
         }
     }
 
@@ -188,6 +197,7 @@
             Fault::StoreUnavailable => self.set_store(|faults| faults.mode = Mode::Refusing(503)),
             Fault::StoreLosesResponses => self.set_store(|faults| faults.lost_responses = 3),
             Fault::StoreCompacts => self.cluster.store.compact(),
+            Fault::StoreRestored => self.copy = Some(self.cluster.store.copy()),
             Fault::Target(index, fault) => self.cluster.set_target_fault(index, Some(fault)),
             Fault::ChangeConfiguration => self.cluster.write_configuration(),
         }
@@ -206,6 +216,12 @@
             Fault::TargetLink(index, _) => self.cluster.targets[index].1.state.set(LinkState::Open),
             Fault::StoreUnavailable => self.set_store(|faults| faults.mode = Mode::Serving),
             Fault::Target(index, _) => self.cluster.set_target_fault(index, None),
+            Fault::StoreRestored => {
+                if let Some(copy) = self.copy.take() {
+                    self.cluster.store.restore(&copy);
+                    self.cluster.write_again();
+                }
+            }
             _ => {}
         }
     }
