--- a/tests/entry_limits/mod.rs
+++ b/tests/entry_limits/mod.rs
@@ -79,3 +79,20 @@
         );
     }
 }
+
+#[tokio::test]
+async fn all_instances_learn_of_a_limit_and_of_its_end() {
+    let cluster = EntryCluster::start(3, 2).await;
+    for limit in [Some(3.0), None] {
+        cluster.limit_target(0, limit);
+        for instance in 0..3 {
+            let known = || async { Some(cluster.dump_field(instance, "targets").await) };
+            let is_known = |targets: &serde_json::Value| {
+                let mut targets = targets.as_array().unwrap().iter();
+                let target = targets.find(|target| target["id"] == "t0").unwrap();
+                target["limit_per_second"].as_f64() == limit
+            };
+            cluster.wait_until(known, is_known).await;
+        }
+    }
+}
