Take no more crashes of a request than are recorded

Of a blocked request two instances may know different crashes; each took the other's as news at every heartbeat, logged it, and told its own again. Change: a full set takes none. Result: quarantine::tests instances_that_know_different_crashes_of_a_blocked_ request_have_no_news passes.

--- a/src/dispatch/quarantine.rs
+++ b/src/dispatch/quarantine.rs
@@ -20,7 +20,7 @@
 /// Keys of the hash that identifies crashes; every instance must use the same.
 const HASH_KEYS: (u64, u64) = (0x7175_6172_616e_7469, 0x6e65_5f63_7261_7368);
 /// Maximum number of crashes of a request that are recorded, and of those that a response
-/// has cleared it of.
+/// has cleared it of; no setting of [`QuarantineSettings::crashes_to_block`] is higher.
 pub const MAX_CRASHES: usize = 3;
 /// Time for which cleared crashes are recorded. Peers that still report them learn of the
 /// response in less.
@@ -158,12 +158,13 @@
         }
     }
 
-    /// Adds a crash; returns whether it is new.
+    /// Adds a crash unless there are [`MAX_CRASHES`]; returns whether it is new.
     fn add_crash(&mut self, crash: CrashId) -> bool {
-        let is_new = !self.crashes.contains(&crash) && !self.cleared.contains(&crash);
+        let is_new = self.crashes.len() < MAX_CRASHES
+            && !self.crashes.contains(&crash)
+            && !self.cleared.contains(&crash);
         if is_new {
             self.crashes.push(crash);
-            self.crashes.truncate(MAX_CRASHES);
             self.changed = true;
         }
         is_new
--- a/src/dispatch/quarantine/tests.rs
+++ b/src/dispatch/quarantine/tests.rs
@@ -324,3 +324,17 @@
     let later = Time::ZERO.after(2 * SECOND);
     assert!(quarantine.record_crash(later, target(1), None).is_empty());
 }
+
+#[test]
+fn instances_that_know_different_crashes_of_a_blocked_request_have_no_news() {
+    let mut instances = [(); 2].map(|()| Quarantine::new(three_crashes()));
+    for (instance, first) in instances.iter_mut().zip([1, 4]) {
+        for run in first..first + 3 {
+            crash_of_run(instance, run, CRASHER);
+        }
+    }
+    let [one, other] = &mut instances;
+    let told = one.evidence(CRASHER).unwrap();
+    assert!(!other.merge_evidence(Time::ZERO, &told));
+    assert_eq!(other.crashes(CRASHER), 3);
+}
