Read the era before the first registration

Cause: found by reading. With a store of an era other than 0, an instance that registered for the first time took the era from before its first read and wrote once more, in vain. Change: it waits for the first read. Result: tests/entry passes as before; no test starts with a store of a later era.

--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -250,6 +250,10 @@
     };
     let key = record::registration_key(registration.address);
     let value = record::registration_value(&registration);
+    // The first read shows whether the registration exists, and the era.
+    while shared.state().replica.revision() == 0 {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
     let mut cleaned_up = shared.now();
     let mut registered_era = None;
     loop {
@@ -287,10 +291,6 @@
     value: &[u8],
 ) {
     let mut backoff = Backoff::new();
-    // The first read shows whether the registration exists.
-    while shared.state().replica.revision() == 0 {
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
     while shared.state().replica.revision_of(key).is_none() {
         match store_client.put_if(key, value, 0).await {
             Ok(()) => {
