Wait before everything is read again a second time

A store that answers each watch with 410 was read again at once each time. Evidence: tests/entry a_store_that_refuses_each_watch_is_not_read_again_at_ once failed (821 reads in 3 s by one instance). Change: from the second read without a watch in between on, a delay that doubles to 2 s.

--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -75,6 +75,7 @@
     let mut store_client = new_store_client(&shared);
     let mut pending_read = Some(ReadConsistency::Stale);
     let mut backoff = Backoff::new();
+    let mut rereads = Backoff::new();
     loop {
         let result = if let Some(consistency) = pending_read {
             read(&shared, &mut store_client, consistency).await
@@ -84,12 +85,20 @@
         };
         match result {
             Ok(()) => {
-                pending_read = None;
+                if pending_read.take().is_none() {
+                    rereads = Backoff::new();
+                }
                 backoff = Backoff::new();
                 set_access(&shared, StoreAccess::Watching);
             }
             Err(err @ (StoreError::Compacted | StoreError::Restored)) => {
                 tracing::info!(cause = %err, "reading everything again");
+                // The store may refuse each watch.
+                if pending_read.is_some() || !rereads.is_reset() {
+                    rereads.wait().await;
+                } else {
+                    rereads.raise_delay(BACKOFF_RANGE.0 * 2);
+                }
                 // A watch cannot bring what a stale read lacks once the history is
                 // compacted.
                 pending_read = Some(ReadConsistency::Linearizable);
--- a/standin/src/prepared/store.rs
+++ b/standin/src/prepared/store.rs
@@ -46,6 +46,8 @@
     pub stale_by_revisions: u64,
     /// Watches deliver no events.
     pub silent_watches: bool,
+    /// Watches fail as if the history had been compacted.
+    pub no_history: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -391,7 +393,8 @@
     loop {
         let changed = state.changed.notified();
         let (is_compacted, events, revision) = state.data.change(|data| {
-            let is_compacted = after < data.compacted || after > data.revision;
+            let is_compacted =
+                after < data.compacted || after > data.revision || faults.get().no_history;
             (is_compacted, events(data, prefix, after), data.revision)
         });
         if is_compacted {
--- a/tests/entry_restore/mod.rs
+++ b/tests/entry_restore/mod.rs
@@ -90,6 +90,27 @@
     assert_eq!(resp.status, 200, "{resp:?}");
 }
 
+#[tokio::test]
+async fn a_store_that_refuses_each_watch_is_not_read_again_at_once() {
+    let cluster = EntryCluster::start(1, 1).await;
+    cluster
+        .store
+        .faults
+        .change(|faults| faults.no_history = true);
+    cluster.configure(8, &["/safe/", "/once/"]);
+    cluster.wait_for_version(0, 8).await;
+    let before = cluster.store.calls("kv-range");
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let reads = cluster.store.calls("kv-range") - before;
+    assert!(reads <= 20, "{reads} reads in 3 s");
+    cluster
+        .store
+        .faults
+        .change(|faults| faults.no_history = false);
+    cluster.configure(9, &["/safe/", "/once/"]);
+    cluster.wait_for_version(0, 9).await;
+}
+
 #[tokio::test]
 async fn a_target_that_left_and_is_ready_in_a_restored_copy_gets_no_requests() {
     let cluster = EntryCluster::start(2, 3).await;
