End the soak's instances when it is terminated

Traced on a scratch copy that prints such requests: they are health checks of entry instances that a soak, ended with SIGTERM, had left behind; they probed ports that the test's targets were given later. Neither the program nor the test is at fault.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use clap::Parser;
+use tokio::signal::unix::{SignalKind, signal};
 use wagtailsaddle_soak::{Options, run};
 
 /// Injects faults into real entry instances and checks what callers and targets observe.
@@ -60,7 +61,7 @@
         // Dropping a run kills the processes that it started.
         let result = tokio::select! {
             result = run(&options) => result,
-            _ = tokio::signal::ctrl_c() => {
+            () = interrupted() => {
                 println!("seed {seed}: interrupted");
                 return ExitCode::FAILURE;
             }
@@ -88,3 +89,18 @@
     println!("{failed} of {} seeds failed", args.seeds);
     ExitCode::from(u8::from(failed > 0))
 }
+
+/// Returns on SIGINT or SIGTERM; never if they can't be received.
+async fn interrupted() {
+    let terminated = async {
+        match signal(SignalKind::terminate()) {
+            Ok(mut signal) => signal.recv().await,
+            Err(_) => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        Ok(()) = tokio::signal::ctrl_c() => {}
+        Some(()) = terminated => {}
+        else => std::future::pending().await,
+    }
+}
