Split the view of one target from the table of all

Cause: src/entry/targets.rs held two aggregates. Change: the view of one target is a file of its own; nothing else changes.

--- a/src/entry/targets/tests.rs
+++ b/src/entry/targets/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::entry::load::Load;
 
 const NOW: Time = Time::from_secs(10);
 
