Move how a request ends out of the file that forwards it

Cause: src/entry/forward.rs also made the responses and log lines of each ending. Change: they are src/entry/forward/ending.rs; nothing else changes.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards one request from its caller to a target, with retries, hedging and
 //! queueing.
 
+mod ending;
 mod queue_place;
 
 use std::future::Future;
@@ -15,9 +16,7 @@
 use super::attempt::{AttemptPlan, CompletedAttempt, OutboundRequest};
 use super::hedge::{self, Progress};
 use super::model::{RetrySafety, Route};
-use super::outcome::{
-    DEFAULT_RETRY_AFTER, Outcome, Refusal, forward_response, implies_not_run, reply,
-};
+use super::outcome::{DEFAULT_RETRY_AFTER, Outcome, Refusal, reply};
 use super::placement::{self, Requirements};
 use super::retry::{self, AttemptHistory, AttemptOutcome, NextStep};
 use super::selection::{ChosenTarget, NoTarget};
@@ -175,19 +174,6 @@
         Ok(())
     }
 
-    fn log_body_failure(&self, cause: &dyn std::fmt::Display) {
-        let arrival = self.outbound.body.arrival();
-        tracing::info!(
-            request = &*self.outbound.id,
-            route = &*self.admitted.route.name,
-            %cause,
-            received_bytes = arrival.received,
-            declared_bytes = arrival.declared,
-            took_ms = millis(self.outbound.started.elapsed()),
-            "body not received"
-        );
-    }
-
     async fn run(&mut self) -> (Outcome, Reply) {
         let mut running = Running::new();
         let mut failure: Option<Response> = None;
@@ -383,98 +369,6 @@
             deadline_left: self.deadline.saturating_duration_since(Instant::now()),
         }
     }
-
-    fn deliver(&self, completed: CompletedAttempt) -> (Outcome, Reply) {
-        let Some(response) = completed.response else {
-            return (Outcome::Lost, reply(Outcome::Lost, DEFAULT_RETRY_AFTER));
-        };
-        tracing::info!(
-            request = &*self.outbound.id,
-            route = &*self.admitted.route.name,
-            version = self.admitted.version,
-            service = %self.admitted.service,
-            target = %completed.choice.id,
-            status = response.status,
-            slowness_percent = completed.choice.candidate.slowness_percent,
-            occupied = completed.choice.candidate.occupied,
-            slots = completed.choice.candidate.slots,
-            report_age_ms = completed.choice.report_age.map(millis),
-            attempts = self.tried.len(),
-            hedged = self.hedged,
-            body_bytes = self.outbound.body.arrival().received,
-            took_ms = millis(self.outbound.started.elapsed()),
-            "answered"
-        );
-        if completed.outcome == AttemptOutcome::TargetFailed && implies_not_run(response.status) {
-            return (Outcome::Lost, reply(Outcome::Lost, DEFAULT_RETRY_AFTER));
-        }
-        let outcome = if completed.outcome == AttemptOutcome::Answered {
-            Outcome::Answered
-        } else {
-            Outcome::TargetFailed
-        };
-        (outcome, forward_response(response))
-    }
-
-    fn refuse(&self, refusal: Refusal) -> (Outcome, Reply) {
-        let now = self.shared.now();
-        let service = &self.admitted.service;
-        let counts = self.shared.state().target_counts(now, service);
-        tracing::info!(
-            request = &*self.outbound.id,
-            route = &*self.admitted.route.name,
-            version = self.admitted.version,
-            %service,
-            reason = %refusal.reason,
-            census = ?counts,
-            unsent = self.history.unsent,
-            shed = self.history.shed,
-            come_back_ms = millis(refusal.retry_after),
-            "refused: not run"
-        );
-        (
-            Outcome::Refused,
-            reply(Outcome::Refused, refusal.retry_after),
-        )
-    }
-
-    fn end_without_target(&self, failure: Option<Response>, refusal: Refusal) -> (Outcome, Reply) {
-        if let Some(err) = self.outbound.body.failure() {
-            self.log_body_failure(&err);
-            let outcome = Outcome::of_body_failure(&err, self.history.not_run());
-            return (outcome, reply(outcome, refusal.retry_after));
-        }
-        if self.history.not_run() {
-            return self.refuse(refusal);
-        }
-        match failure {
-            Some(response) if !implies_not_run(response.status) => {
-                (Outcome::TargetFailed, forward_response(response))
-            }
-            _ => (Outcome::Lost, reply(Outcome::Lost, refusal.retry_after)),
-        }
-    }
-
-    /// Ends a request at its deadline; its attempts are cancelled.
-    fn time_out(&self) -> (Outcome, Reply) {
-        let now = self.shared.now();
-        let last = self.tried.last();
-        let slowness = last.map(|target| self.shared.state().slowness(now, target));
-        tracing::info!(
-            request = &*self.outbound.id,
-            route = &*self.admitted.route.name,
-            service = %self.admitted.service,
-            target = self.tried.last().map(TargetId::as_str),
-            slowness,
-            attempts = self.tried.len(),
-            deadline_ms = millis(self.deadline.duration_since(self.outbound.started)),
-            "deadline exceeded"
-        );
-        (
-            Outcome::TimedOut,
-            reply(Outcome::TimedOut, DEFAULT_RETRY_AFTER),
-        )
-    }
 }
 
 impl Shared {
--- /dev/null
+++ b/src/entry/forward/ending.rs
@@ -0,0 +1,122 @@
+//! How a request ends: the response to it, and the log line that says why.
+
+use super::{Call, millis};
+use crate::entry::attempt::CompletedAttempt;
+use crate::entry::outcome::{
+    DEFAULT_RETRY_AFTER, Outcome, Refusal, forward_response, implies_not_run, reply,
+};
+use crate::entry::retry::AttemptOutcome;
+use crate::http1::client::Response;
+use crate::http1::server::Reply;
+use crate::names::TargetId;
+
+impl Call<'_> {
+    pub(super) fn deliver(&self, completed: CompletedAttempt) -> (Outcome, Reply) {
+        let Some(response) = completed.response else {
+            return (Outcome::Lost, reply(Outcome::Lost, DEFAULT_RETRY_AFTER));
+        };
+        tracing::info!(
+            request = &*self.outbound.id,
+            route = &*self.admitted.route.name,
+            version = self.admitted.version,
+            service = %self.admitted.service,
+            target = %completed.choice.id,
+            status = response.status,
+            slowness_percent = completed.choice.candidate.slowness_percent,
+            occupied = completed.choice.candidate.occupied,
+            slots = completed.choice.candidate.slots,
+            report_age_ms = completed.choice.report_age.map(millis),
+            attempts = self.tried.len(),
+            hedged = self.hedged,
+            body_bytes = self.outbound.body.arrival().received,
+            took_ms = millis(self.outbound.started.elapsed()),
+            "answered"
+        );
+        if completed.outcome == AttemptOutcome::TargetFailed && implies_not_run(response.status) {
+            return (Outcome::Lost, reply(Outcome::Lost, DEFAULT_RETRY_AFTER));
+        }
+        let outcome = if completed.outcome == AttemptOutcome::Answered {
+            Outcome::Answered
+        } else {
+            Outcome::TargetFailed
+        };
+        (outcome, forward_response(response))
+    }
+
+    pub(super) fn refuse(&self, refusal: Refusal) -> (Outcome, Reply) {
+        let now = self.shared.now();
+        let service = &self.admitted.service;
+        let counts = self.shared.state().target_counts(now, service);
+        tracing::info!(
+            request = &*self.outbound.id,
+            route = &*self.admitted.route.name,
+            version = self.admitted.version,
+            %service,
+            reason = %refusal.reason,
+            census = ?counts,
+            unsent = self.history.unsent,
+            shed = self.history.shed,
+            come_back_ms = millis(refusal.retry_after),
+            "refused: not run"
+        );
+        (
+            Outcome::Refused,
+            reply(Outcome::Refused, refusal.retry_after),
+        )
+    }
+
+    pub(super) fn end_without_target(
+        &self,
+        failure: Option<Response>,
+        refusal: Refusal,
+    ) -> (Outcome, Reply) {
+        if let Some(err) = self.outbound.body.failure() {
+            self.log_body_failure(&err);
+            let outcome = Outcome::of_body_failure(&err, self.history.not_run());
+            return (outcome, reply(outcome, refusal.retry_after));
+        }
+        if self.history.not_run() {
+            return self.refuse(refusal);
+        }
+        match failure {
+            Some(response) if !implies_not_run(response.status) => {
+                (Outcome::TargetFailed, forward_response(response))
+            }
+            _ => (Outcome::Lost, reply(Outcome::Lost, refusal.retry_after)),
+        }
+    }
+
+    /// Ends a request at its deadline; its attempts are cancelled.
+    pub(super) fn time_out(&self) -> (Outcome, Reply) {
+        let now = self.shared.now();
+        let last = self.tried.last();
+        let slowness = last.map(|target| self.shared.state().slowness(now, target));
+        tracing::info!(
+            request = &*self.outbound.id,
+            route = &*self.admitted.route.name,
+            service = %self.admitted.service,
+            target = self.tried.last().map(TargetId::as_str),
+            slowness,
+            attempts = self.tried.len(),
+            deadline_ms = millis(self.deadline.duration_since(self.outbound.started)),
+            "deadline exceeded"
+        );
+        (
+            Outcome::TimedOut,
+            reply(Outcome::TimedOut, DEFAULT_RETRY_AFTER),
+        )
+    }
+
+    pub(super) fn log_body_failure(&self, cause: &dyn std::fmt::Display) {
+        let arrival = self.outbound.body.arrival();
+        tracing::info!(
+            request = &*self.outbound.id,
+            route = &*self.admitted.route.name,
+            %cause,
+            received_bytes = arrival.received,
+            declared_bytes = arrival.declared,
+            took_ms = millis(self.outbound.started.elapsed()),
+            "body not received"
+        );
+    }
+}
