--- /dev/null
+++ b/src/http1/tests/body.rs
@@ -0,0 +1,131 @@
+//! Decoding of bodies, and arbitrary bytes.
+
+use super::*;
+
+/// The result of decoding `bytes` that arrive in the given pieces.
+fn decode(framing: Framing, pieces: &[&[u8]]) -> Result<(Vec<u8>, bool, Vec<u8>), BodyError> {
+    let mut decoder = BodyDecoder::new(framing, 64)?;
+    let (mut buf, mut body) = (bytes::BytesMut::new(), Vec::new());
+    for piece in pieces {
+        buf.extend_from_slice(piece);
+        while let Decoded::Data(data) = decoder.decode(&mut buf, 7)? {
+            body.extend_from_slice(&data);
+        }
+    }
+    Ok((body, decoder.is_complete(), buf.to_vec()))
+}
+
+/// Bytes that are likely to be valid framing, or nearly so.
+fn framing_bytes(
+    u: &mut arbtest::arbitrary::Unstructured<'_>,
+) -> arbtest::arbitrary::Result<Vec<u8>> {
+    let parts: [&[u8]; 12] = [
+        b"\r\n",
+        b"0\r\n",
+        b"3\r\nabc\r\n",
+        b"2;x=y\r\nok\r\n",
+        b"ffffffffffffffff\r\n",
+        b"10000000000000000\r\n",
+        b"a: b\r\n",
+        b"\n",
+        b"\r",
+        b"40\r\n",
+        b"-1\r\n",
+        b"0\r\n\r\n",
+    ];
+    let mut bytes = Vec::new();
+    for _ in 0..u.int_in_range(0..=8)? {
+        if u.ratio(1, 5)? {
+            bytes.extend(u.arbitrary::<[u8; 3]>()?);
+        } else {
+            bytes.extend_from_slice(u.choose(&parts)?);
+        }
+    }
+    Ok(bytes)
+}
+
+#[test]
+fn a_body_is_decoded_alike_however_its_bytes_are_split() {
+    arbtest::arbtest(|u| {
+        let framing = *u.choose(&[
+            Framing::None,
+            Framing::Length(5),
+            Framing::Length(65),
+            Framing::Length(usize::MAX),
+            Framing::Chunked,
+            Framing::UntilClose,
+        ])?;
+        let bytes = framing_bytes(u)?;
+        let whole = decode(framing, &[&bytes]);
+        let mut pieces = Vec::new();
+        let mut rest = bytes.as_slice();
+        while !rest.is_empty() {
+            let (piece, left) = rest.split_at(u.int_in_range(1..=rest.len())?);
+            pieces.push(piece);
+            rest = left;
+        }
+        assert_eq!(decode(framing, &pieces), whole);
+        if let Ok((body, ..)) = whole {
+            assert!(body.len() <= 64);
+        }
+        Ok(())
+    });
+}
+
+/// Whatever bytes arrive, a connection ends without a panic: one of a caller after its
+/// responses, and one to a target with a result.
+#[test]
+fn arbitrary_bytes_end_a_connection_without_a_panic() {
+    const HEADS: [&[u8]; 6] = [
+        b"",
+        b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"POST / HTTP/1.0\r\ncontent-length: 5\r\nexpect: 100-continue\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 18446744073709551615\r\n\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 200\r\n\r\n",
+    ];
+    let rt = tokio::runtime::Runtime::new().unwrap();
+    arbtest::arbtest(|u| {
+        let mut bytes = u.choose(&HEADS)?.to_vec();
+        bytes.extend(framing_bytes(u)?);
+        let split = u.int_in_range(0..=bytes.len())?;
+        rt.block_on(async {
+            let (_tx, shutdown) = watch::channel(ShutdownPhase::Serving);
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let context = ServerContext {
+                handler: |req: Request, _: SocketAddr| async move {
+                    let _ = collect(&req.body).await;
+                    Reply::empty(200)
+                },
+                limits: Box::new(limits),
+                body_memory: memory(),
+                shutdown,
+            };
+            let serving = tokio::spawn(async move {
+                let (stream, peer) = listener.accept().await.unwrap();
+                serve(stream, peer, &context).await;
+            });
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            let _ = stream.write_all(&bytes[..split]).await;
+            tokio::task::yield_now().await;
+            let _ = stream.write_all(&bytes[split..]).await;
+            let _ = stream.shutdown().await;
+            let mut answer = Vec::new();
+            let _ = stream.read_to_end(&mut answer).await;
+            serving.await.unwrap();
+
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let response = bytes.clone();
+            tokio::spawn(async move {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let _ = stream.write_all(&response).await;
+            });
+            let exchanged = tokio::spawn(get(address, "own"));
+            let _ = exchanged.await.unwrap();
+        });
+        Ok(())
+    })
+    .budget_ms(2_000);
+}
--- /dev/null
+++ b/src/http1/tests/client.rs
@@ -0,0 +1,172 @@
+//! The client side of connections.
+
+use super::*;
+
+/// For each response of a peer: the status and body or the kind of error, and whether
+/// the connection may be reused.
+#[tokio::test]
+async fn responses_are_complete_and_matching_or_errors() {
+    let cases: [(&str, &'static [u8], bool); 15] = [
+        ("whole", b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", false),
+        ("whole, closing", b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok", true),
+        ("until close", b"HTTP/1.1 200 OK\r\n\r\nall of it", true),
+        ("chunked", b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false),
+        ("after an interim one", b"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", false),
+        ("without body", b"HTTP/1.1 204 No Content\r\n\r\n", false),
+        ("cut in the body", b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok", true),
+        ("cut in a chunk", b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nok", true),
+        ("cut in the head", b"HTTP/1.1 200 OK\r\ncontent-le", true),
+        ("nothing", b"", true),
+        ("no HTTP", b"\x16\x03\x01garbage\r\n\r\n", true),
+        ("two lengths", b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nok!", true),
+        ("bytes after it", b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n", false),
+        ("another's first", b"HTTP/1.1 200 OK\r\nid: old\r\ncontent-length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nid: own\r\ncontent-length: 2\r\n\r\nok", false),
+        ("only another's", b"HTTP/1.1 200 OK\r\nid: old\r\ncontent-length: 3\r\n\r\nold", true),
+    ];
+    let mut seen = String::new();
+    for (name, bytes, close) in cases {
+        let (result, reusable) = get(fixed_peer(bytes, close).await, "own").await;
+        let text = match result {
+            Ok(resp) => format!("{} {:?}", resp.status, resp.body),
+            Err(ExchangeError::NotSent(_)) => "not sent".into(),
+            Err(ExchangeError::Lost(_)) => "lost".into(),
+            Err(ExchangeError::Malformed(_)) => "malformed".into(),
+            Err(ExchangeError::RequestBody(_)) => "body not sent".into(),
+        };
+        let reuse = if reusable { "reusable" } else { "not reusable" };
+        writeln!(seen, "{name}: {text}, {reuse}").unwrap();
+    }
+    insta::assert_snapshot!(seen);
+}
+
+#[tokio::test]
+async fn a_refused_connection_gives_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let opened = Conn::connect(address, TIMEOUT).await;
+    assert!(matches!(opened, Err(ExchangeError::NotSent(_))));
+}
+
+#[tokio::test]
+async fn a_connection_with_unsolicited_bytes_is_not_reusable() {
+    let (tx, rx) = tokio::sync::oneshot::channel();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let peer = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        rx.await.unwrap();
+        stream.write_all(b"late").await.unwrap();
+        stream
+    });
+    let conn = Conn::connect(address, TIMEOUT).await.unwrap();
+    assert!(conn.is_reusable());
+    tx.send(()).unwrap();
+    let _stream = peer.await.unwrap();
+    let unusable = async {
+        while conn.is_reusable() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::time::timeout(TIMEOUT, unusable).await.unwrap();
+}
+
+#[tokio::test]
+async fn a_connection_is_not_reusable_after_a_response_to_a_partly_sent_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let peer = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let response = b"HTTP/1.1 413 Too Large\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(response).await.unwrap();
+        stream
+    });
+    let mut conn = Conn::connect(address, TIMEOUT).await.unwrap();
+    // The peer does not read it, and it is larger than the socket buffers of both ends.
+    let body = vec![b'x'; 64 << 20];
+    let outgoing = OutgoingRequest {
+        bytes: &body,
+        body: None,
+        is_head: false,
+        max_response_bytes: 1024,
+        memory: None,
+    };
+    let resp = tokio::time::timeout(TIMEOUT, conn.exchange(&outgoing, |_| true))
+        .await
+        .unwrap()
+        .unwrap();
+    assert_eq!(resp.status, 413);
+    assert!(!conn.is_reusable());
+    drop(peer.await.unwrap());
+}
+
+/// Sends a body in two halves with a pause between them, in both transfer codings.
+#[tokio::test]
+async fn a_body_is_sent_as_it_arrives() {
+    for chunked in [false, true] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let body = Arc::new(RequestBody::new((!chunked).then_some(6), memory()));
+        body.push(b"abc");
+        let arriving = body.clone();
+        let peer = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut seen = read_until(&mut stream, "abc").await;
+            arriving.push(b"def");
+            arriving.end(Ok(()));
+            seen += &read_until(&mut stream, if chunked { "0\r\n\r\n" } else { "def" }).await;
+            let response = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(response).await.unwrap();
+            (seen, stream)
+        });
+        let mut conn = Conn::connect(address, TIMEOUT).await.unwrap();
+        let outgoing = OutgoingRequest {
+            bytes: b"POST / HTTP/1.1\r\n\r\n",
+            body: Some(OutgoingBody {
+                body: &body,
+                chunked,
+            }),
+            is_head: false,
+            max_response_bytes: 1024,
+            memory: None,
+        };
+        let exchange = conn.exchange(&outgoing, |_| true);
+        let resp = tokio::time::timeout(TIMEOUT, exchange).await.unwrap();
+        assert_eq!(resp.unwrap().status, 200);
+        let (seen, _stream) = peer.await.unwrap();
+        let expected = if chunked {
+            "POST / HTTP/1.1\r\n\r\n3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\n"
+        } else {
+            "POST / HTTP/1.1\r\n\r\nabcdef"
+        };
+        assert_eq!(seen, expected);
+        assert!(conn.is_reusable());
+        assert!(body.is_held_whole(), "it may be sent to another target");
+    }
+}
+
+#[tokio::test]
+async fn a_request_whose_body_breaks_off_is_not_completed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let body = RequestBody::new(Some(6), memory());
+    body.push(b"abc");
+    body.end(Err(BodyError::Stalled(TIMEOUT)));
+    let mut conn = Conn::connect(address, TIMEOUT).await.unwrap();
+    let outgoing = OutgoingRequest {
+        bytes: b"POST / HTTP/1.1\r\n\r\n",
+        body: Some(OutgoingBody {
+            body: &body,
+            chunked: false,
+        }),
+        is_head: false,
+        max_response_bytes: 1024,
+        memory: None,
+    };
+    let exchange = conn.exchange(&outgoing, |_| true);
+    let result = tokio::time::timeout(TIMEOUT, exchange).await.unwrap();
+    assert!(
+        matches!(result, Err(ExchangeError::RequestBody(_))),
+        "{result:?}"
+    );
+}
