Look the path of a health check up in one place

Cause: found by reading; a check before a request looked it up on its own, beside the function that this release added. Change: it uses that function. Result: entry tests pass.

--- a/src/entry/selection.rs
+++ b/src/entry/selection.rs
@@ -133,8 +133,7 @@
         view.checks.record(now);
         view.limit.record_sent(now);
         let service = view.target.service.clone();
-        let configuration = self.replica.configuration()?;
-        Some(configuration.services.get(&service)?.health_path.clone())
+        self.health_path(&service)
     }
 
     /// Whether a request is sent to the chosen target, of which a report has just arrived.
