Show how much of the quarantine peers may not know

Cause: log and metrics could not tell late news of a crash from a request that is not recognized when it comes again, or from a record that was dropped. Change: metrics entry_quarantine_records and entry_quarantine_unsent, suspects and dropped records in the state dump, and the path of a failed attempt beside its fingerprint.

--- a/src/dispatch/quarantine.rs
+++ b/src/dispatch/quarantine.rs
@@ -191,9 +191,21 @@
     broken_calls: IndexMap<SocketAddr, Vec<(Fingerprint, Time)>>,
     running_suspects: IndexMap<SocketAddr, Fingerprint>,
     reports_sent: u64,
+    records_dropped: u64,
     start_ids: IndexMap<SocketAddr, String>,
 }
 
+/// Number of records of a [`Quarantine`].
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct QuarantineSize {
+    /// Records of requests that are or were suspected or blocked.
+    pub records: usize,
+    /// Those of which the peers may not know all.
+    pub unsent: usize,
+    /// Records dropped so far because there were too many.
+    pub dropped: u64,
+}
+
 impl Quarantine {
     /// Creates an empty quarantine.
     #[must_use]
@@ -210,6 +222,20 @@
         self.records.is_empty()
     }
 
+    /// How much is recorded, and how much of it the peers may not know.
+    #[must_use]
+    pub fn size(&self) -> QuarantineSize {
+        QuarantineSize {
+            records: self.records.len(),
+            unsent: self
+                .records
+                .values()
+                .filter(|record| record.changed)
+                .count(),
+            dropped: self.records_dropped,
+        }
+    }
+
     /// The current status of a request.
     #[must_use]
     pub fn status(&self, now: Time, fingerprint: Fingerprint) -> QuarantineStatus {
@@ -467,6 +493,7 @@
         self.records.insert(fingerprint, record);
         while self.records.len() > self.settings.max_records {
             self.records.shift_remove_index(0);
+            self.records_dropped += 1;
         }
     }
 }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -24,6 +24,8 @@
 
 /// Maximum body of a response, in bytes: some times the largest downloads.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Characters of a request's path that log lines contain.
+const MAX_LOGGED_PATH: usize = 96;
 /// Keys of the fingerprint hash; every instance must use the same.
 const HASH_KEYS: (u64, u64) = (0x7265_7175_6573_745f, 0x6669_6e67_6572_7072);
 
@@ -34,6 +36,8 @@
     pub id: Arc<str>,
     /// Name of its route.
     pub route: Arc<str>,
+    /// Start of its path, for the log.
+    pub path: Box<str>,
     /// When its first byte arrived.
     pub started: Instant,
     deadline: Instant,
@@ -69,6 +73,7 @@
         Self {
             id: meta.id.unwrap_or_default().into(),
             route,
+            path: logged_path(&req.target),
             started: req.received,
             deadline,
             head,
@@ -107,6 +112,12 @@
     }
 }
 
+/// The start of a request target's path.
+fn logged_path(target: &str) -> Box<str> {
+    let path = target.split('?').next().unwrap_or_default();
+    path.chars().take(MAX_LOGGED_PATH).collect()
+}
+
 /// Fingerprint of a request: a hash of host, method, path and query, and of the start
 /// and the declared length of a long body.
 pub(crate) fn fingerprint(
@@ -404,6 +415,7 @@
         } else {
             tracing::info!(
                 request = &*outbound.id,
+                path = &*outbound.path,
                 %fingerprint,
                 target = %choice.id,
                 address = %choice.address,
--- a/src/entry/endpoints.rs
+++ b/src/entry/endpoints.rs
@@ -52,6 +52,10 @@
             shared.metrics.unknown_kinds.set(gauge(unknown_kinds));
             let body_bytes = shared.body_memory.total();
             shared.metrics.body_bytes.set(gauge(body_bytes));
+            let quarantine = shared.state().quarantine.size();
+            let metrics = &shared.metrics;
+            metrics.quarantine_records.set(gauge(quarantine.records));
+            metrics.quarantine_unsent.set(gauge(quarantine.unsent));
             Reply {
                 status: 200,
                 body: shared.metrics.encode().into(),
@@ -109,6 +113,8 @@
         "evacuated": state.targets.evacuated(),
         "unknown_kinds": unknown_kinds(state),
         "rejected_records": state.rejected.values().collect::<Vec<_>>(),
+        "quarantine": state.quarantine.size(),
+        "suspects": state.quarantine.cases(now).collect::<Vec<_>>(),
         "targets": targets,
         "peers": peers,
     })
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -41,6 +41,10 @@
     pub unknown_kinds: IntGauge,
     /// Bytes held for the bodies of requests, beyond the first 16 KiB of each.
     pub body_bytes: IntGauge,
+    /// Records of requests suspected of crashing targets.
+    pub quarantine_records: IntGauge,
+    /// Those of which the peers may not know all.
+    pub quarantine_unsent: IntGauge,
     /// Calls to the platform's store, by kind.
     pub store_calls: Arc<IntCounterVec>,
 }
@@ -99,6 +103,14 @@
             )?,
             unknown_kinds: gauge("entry_unknown_route_kinds", "Routes whose kind is unknown.")?,
             body_bytes: gauge("entry_body_bytes", "Bytes held for the bodies of requests.")?,
+            quarantine_records: gauge(
+                "entry_quarantine_records",
+                "Requests suspected of crashing targets.",
+            )?,
+            quarantine_unsent: gauge(
+                "entry_quarantine_unsent",
+                "Of these, those with crashes that peers may not know.",
+            )?,
             store_calls: Arc::new(by_label(
                 "entry_store_calls_total",
                 "Calls to the store by kind.",
