--- a/src/entry/digest/tests.rs
+++ b/src/entry/digest/tests.rs
@@ -2,7 +2,8 @@
 use crate::entry::message::{Health, Heartbeat};
 use crate::entry::model::{Change, Record, Registration, Target};
 use crate::entry::replica::Delta;
-use crate::entry::settings::{EntrySettings, Tuning};
+use crate::entry::settings::Tuning;
+use crate::entry::testing::settings;
 
 const NOW: Time = Time::from_secs(10);
 
@@ -37,30 +38,6 @@
     );
 }
 
-fn settings(ip: [u8; 4], zone: &str) -> EntrySettings {
-    EntrySettings {
-        name: "entry".into(),
-        ip: ip.into(),
-        zone: zone.into(),
-        callers: (ip, 80).into(),
-        readiness: None,
-        directory: None,
-        peers: (ip, 7000).into(),
-        seeds: Vec::new(),
-        first_start: true,
-        store: ([10, 9, 9, 9], 1).into(),
-        grace: Duration::from_secs(6),
-        repeat_ratio: 0.2,
-        repeat_window: Duration::from_secs(10),
-        repeat_slack: 50.0,
-        cold_factor: 1.5,
-        cold_slack: 5.0,
-        max_directory_ttl: Duration::from_secs(5),
-        max_probe_rate: 60.0,
-        body_memory: 16 << 20,
-    }
-}
-
 /// A heartbeat of a peer without reports.
 fn heartbeat_from(zone: &str) -> Heartbeat {
     Heartbeat {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -36,6 +36,8 @@
 pub(crate) mod sync;
 pub(crate) mod target_limit;
 pub(crate) mod targets;
+#[cfg(test)]
+mod testing;
 pub(crate) mod upload;
 pub(crate) mod wait_queue;
 pub(crate) mod watchers;
--- a/src/entry/state/heartbeats.rs
+++ b/src/entry/state/heartbeats.rs
@@ -185,3 +185,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
