Send news of crashing requests at once to all instances

With 30 requests that broke off at each crash, the one that caused it waited for seconds behind the others. Heartbeats keep four records in turn, half of them blocked ones, for instances that have just started. In the quarantine's own tests a report is now a heartbeat's records and the news together, as instances send them; their assertions are as they were. Callers saw targets crash under a request for seconds after it was known to crash them.

--- a/src/dispatch/crash.rs
+++ b/src/dispatch/crash.rs
@@ -11,7 +11,7 @@
 
 use super::body::CallBody;
 use super::call::Call;
-use super::quarantine::{Case, Evidence, Fingerprint};
+use super::quarantine::{Case, Evidence, Fingerprint, PassOn};
 use crate::instance::Instance;
 use crate::macros::data;
 use crate::platform::http::send;
@@ -139,7 +139,7 @@
     let now = instance.tables.clock.now();
     let mut quarantine = instance.dispatch.quarantine();
     for evidence in &report.evidence {
-        quarantine.merge_evidence(now, evidence);
+        quarantine.merge_evidence(now, evidence, PassOn::No);
     }
     for case in &report.cases {
         quarantine.merge(now, case);
--- a/src/dispatch/quarantine.rs
+++ b/src/dispatch/quarantine.rs
@@ -7,6 +7,7 @@
 //! Instances tell each other which crashes they attribute to a request. Crashes have ids,
 //! so that those seen by several instances add up and none counts twice.
 
+use std::cmp::Reverse;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,6 +23,8 @@
 /// Maximum number of crashes of a request that are recorded, and of those that a response
 /// has cleared it of; no setting of [`QuarantineSettings::crashes_to_block`] is higher.
 pub const MAX_CRASHES: usize = 3;
+/// How often a change of a record is sent to its receivers, of which each may lose some.
+const NEWS_SENDS: u8 = 3;
 /// Time for which cleared crashes are recorded. Peers that still report them learn of the
 /// response in less.
 const CLEARED_RETENTION: Duration = Duration::from_secs(60);
@@ -122,6 +125,53 @@
     pub cleared: Vec<CrashId>,
 }
 
+/// Peers to which news are sent apart from the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Audience {
+    /// Those in the own zone.
+    OwnZone,
+    /// Those in other zones.
+    OtherZones,
+}
+
+/// To whom the news in the evidence of a peer are passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PassOn {
+    /// To nobody: the peer tells all others itself.
+    No,
+    /// To the peers in the own zone, of which the peer tells only a few.
+    OwnZone,
+}
+
+/// How often a record is still to be sent as news.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct PendingNews {
+    own_zone: u8,
+    other_zones: u8,
+}
+
+impl PendingNews {
+    const ALL: Self = Self {
+        own_zone: NEWS_SENDS,
+        other_zones: NEWS_SENDS,
+    };
+
+    fn left(self, audience: Audience) -> u8 {
+        match audience {
+            Audience::OwnZone => self.own_zone,
+            Audience::OtherZones => self.other_zones,
+        }
+    }
+
+    fn record_sent(&mut self, audience: Audience) {
+        let left = match audience {
+            Audience::OwnZone => &mut self.own_zone,
+            Audience::OtherZones => &mut self.other_zones,
+        };
+        *left = left.saturating_sub(1);
+    }
+}
+
 #[derive(Debug, Clone, Default)]
 struct Record {
     crashes: Vec<CrashId>,
@@ -130,8 +180,8 @@
     reported: u32,
     blocked_until: Time,
     suspect_until: Time,
-    /// Whether the peers may not know all of it.
-    changed: bool,
+    /// How often it is still to be sent as news.
+    news: PendingNews,
     /// Number of the report to peers that last contained it; 0 before the first.
     reported_in: u64,
 }
@@ -165,21 +215,23 @@
             && !self.cleared.contains(&crash);
         if is_new {
             self.crashes.push(crash);
-            self.changed = true;
+            self.news = PendingNews::ALL;
         }
         is_new
     }
 
-    /// Clears the request of a crash.
-    fn clear(&mut self, crash: CrashId) {
+    /// Clears the request of a crash; returns whether that is new.
+    fn clear(&mut self, crash: CrashId) -> bool {
         self.crashes.retain(|known| *known != crash);
-        if !self.cleared.contains(&crash) {
+        let is_new = !self.cleared.contains(&crash);
+        if is_new {
             self.cleared.push(crash);
-            self.changed = true;
+            self.news = PendingNews::ALL;
         }
         while self.cleared.len() > MAX_CRASHES {
             self.cleared.remove(0);
         }
+        is_new
     }
 }
 
@@ -230,7 +282,7 @@
             unsent: self
                 .records
                 .values()
-                .filter(|record| record.changed)
+                .filter(|record| record.news != PendingNews::default())
                 .count(),
             dropped: self.records_dropped,
         }
@@ -372,17 +424,18 @@
             .collect()
     }
 
-    /// Merges what another instance attributes to a request; returns whether any crash is
-    /// new.
-    pub fn merge_evidence(&mut self, now: Time, evidence: &Evidence) -> bool {
+    /// Merges what another instance attributes to a request, and passes what is new in it on;
+    /// returns whether any crash is new.
+    pub fn merge_evidence(&mut self, now: Time, evidence: &Evidence, pass_on: PassOn) -> bool {
         let is_known = self.records.contains_key(&evidence.fingerprint);
         if evidence.crashes.is_empty() && !is_known {
             return false;
         }
         let mut record = self.record_of(now, evidence.fingerprint);
-        let had_changed = std::mem::take(&mut record.changed);
+        let own_news = record.news;
+        let mut is_cleared = false;
         for crash in &evidence.cleared {
-            record.clear(*crash);
+            is_cleared |= record.clear(*crash);
         }
         let mut is_new = false;
         for crash in &evidence.crashes {
@@ -390,10 +443,13 @@
         }
         if is_new && now >= record.blocked_until {
             self.update_block(now, &mut record);
-        } else if record.changed && record.crashes.is_empty() {
+        } else if is_cleared && record.crashes.is_empty() {
             record.suspect_until = now.after(CLEARED_RETENTION);
         }
-        record.changed |= had_changed;
+        record.news = own_news;
+        if (is_new || is_cleared) && pass_on == PassOn::OwnZone {
+            record.news.own_zone = NEWS_SENDS;
+        }
         self.store(evidence.fingerprint, record);
         is_new
     }
@@ -432,9 +488,9 @@
         Some(record.evidence(fingerprint))
     }
 
-    /// The records that the next report to peers contains, at most `limit`: first those that
-    /// changed, then those that were reported longest ago, so that none is left out for
-    /// long. `reaches_all` says whether all peers get the report.
+    /// The records that the next report to peers contains, at most `limit`: in turn, but half
+    /// of them of requests that are blocked, for peers that have just started. `reaches_all`
+    /// says whether all peers get the report.
     pub fn next_report(
         &mut self,
         now: Time,
@@ -444,20 +500,25 @@
         let mut order: Vec<(bool, u64, Fingerprint)> = self
             .records
             .iter()
-            .map(|(fingerprint, record)| (!record.changed, record.reported_in, *fingerprint))
+            .map(|(fingerprint, record)| {
+                let is_blocked = now < record.blocked_until;
+                (!is_blocked, record.reported_in, *fingerprint)
+            })
             .collect();
         order.sort_unstable();
-        order.truncate(limit);
+        let mut chosen: Vec<_> = order.drain(..order.len().min(limit / 2)).collect();
+        order.sort_unstable_by_key(|(_, reported_in, fingerprint)| (*reported_in, *fingerprint));
+        order.truncate(limit - chosen.len());
+        chosen.append(&mut order);
         if reaches_all {
             self.reports_sent += 1;
         }
         let (mut cases, mut evidence) = (Vec::new(), Vec::new());
-        for (.., fingerprint) in order {
+        for (.., fingerprint) in chosen {
             let Some(record) = self.records.get_mut(&fingerprint) else {
                 continue;
             };
             if reaches_all {
-                record.changed = false;
                 record.reported_in = self.reports_sent;
             }
             if record.deaths() > 0 {
@@ -468,6 +529,28 @@
         (cases, evidence)
     }
 
+    /// The records to send to an audience as news, at most `limit`: first those with the
+    /// most crashes, since a request that crashes targets is suspected at each of them, and
+    /// those beside it mostly once.
+    pub fn next_news(&mut self, audience: Audience, limit: usize) -> Vec<Evidence> {
+        let mut news: Vec<(Fingerprint, &mut Record)> = self
+            .records
+            .iter_mut()
+            .filter(|(_, record)| record.news.left(audience) > 0)
+            .map(|(fingerprint, record)| (*fingerprint, record))
+            .collect();
+        news.sort_by_key(|(fingerprint, record)| {
+            let order = (record.deaths(), record.news.left(audience));
+            (Reverse(order), *fingerprint)
+        });
+        let sent = news.into_iter().take(limit);
+        sent.map(|(fingerprint, record)| {
+            record.news.record_sent(audience);
+            record.evidence(fingerprint)
+        })
+        .collect()
+    }
+
     /// Drops records of requests that are no longer suspected or blocked.
     pub fn remove_expired(&mut self, now: Time) {
         self.records
--- a/src/dispatch/quarantine/tests.rs
+++ b/src/dispatch/quarantine/tests.rs
@@ -203,9 +203,10 @@
 }
 
 fn report(from: &mut Quarantine, to: &mut Quarantine) {
-    let (cases, evidence) = from.next_report(Time::ZERO, 4, true);
+    let (cases, mut evidence) = from.next_report(Time::ZERO, 4, true);
+    evidence.extend(from.next_news(Audience::OwnZone, 4));
     for evidence in &evidence {
-        to.merge_evidence(Time::ZERO, evidence);
+        to.merge_evidence(Time::ZERO, evidence, PassOn::OwnZone);
     }
     for case in &cases {
         to.merge(Time::ZERO, case);
@@ -335,6 +336,6 @@
     }
     let [one, other] = &mut instances;
     let told = one.evidence(CRASHER).unwrap();
-    assert!(!other.merge_evidence(Time::ZERO, &told));
+    assert!(!other.merge_evidence(Time::ZERO, &told, PassOn::OwnZone));
     assert_eq!(other.crashes(CRASHER), 3);
 }
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -351,6 +351,40 @@
         due
     }
 
+    /// The live instances to send news to, in the own zone and in others. In a large
+    /// membership only a few in each other zone, picked by `draw` in `0.0..1.0`, get them.
+    #[must_use]
+    pub fn news_receivers(
+        &self,
+        now: Time,
+        own_zone: &ZoneName,
+        draw: f64,
+    ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let mut zones: IndexMap<&ZoneName, Vec<SocketAddr>> = IndexMap::new();
+        for (address, member) in self.live(now) {
+            zones.entry(&member.zone).or_default().push(address);
+        }
+        let own = zones.swap_remove(own_zone).unwrap_or_default();
+        let limit = if self.is_large() {
+            RELAYS_PER_ZONE
+        } else {
+            usize::MAX
+        };
+        let others = zones.into_values().flat_map(|instances| {
+            let first = index_for_draw(instances.len(), draw);
+            let count = limit.min(instances.len());
+            instances.into_iter().cycle().skip(first).take(count)
+        });
+        (own, others.collect())
+    }
+
+    /// Whether an instance tells only a few instances in the own zone, which pass it on.
+    #[must_use]
+    pub fn is_told_through_relays(&self, from: SocketAddr, own_zone: &ZoneName) -> bool {
+        let member = self.by_address.get(&from);
+        self.is_large() && member.is_none_or(|member| member.zone != *own_zone)
+    }
+
     /// Whether this instance, in `own_zone`, is the prober of a target, according to
     /// its own view. Rendezvous hashing picks it among the live instances; those in the
     /// target's zone come first.
--- a/src/entry/message.rs
+++ b/src/entry/message.rs
@@ -22,6 +22,8 @@
 pub const MAX_RELAYED: usize = 8;
 /// Maximum quarantine cases in a heartbeat.
 pub const MAX_CASES: usize = 4;
+/// Maximum records in a [`Datagram::Evidence`], so that it fits [`MAX_DATAGRAM`].
+pub const MAX_EVIDENCE: usize = 30;
 /// Maximum limits of targets in a heartbeat.
 pub const MAX_LIMITS: usize = 4;
 /// Maximum frame size over TCP: a full configuration and all targets.
@@ -120,6 +122,9 @@
     DigestRequest,
     /// A part of the response to a [`Self::DigestRequest`].
     Digest(Vec<TargetReport>),
+    /// News of requests suspected of crashing targets. Earlier releases ignore it, and learn
+    /// of them from heartbeats.
+    Evidence(Vec<Evidence>),
 }
 
 /// A request over TCP.
--- a/src/entry/message/tests.rs
+++ b/src/entry/message/tests.rs
@@ -107,6 +107,19 @@
     assert_eq!(decoded, (Datagram::Heartbeat(heartbeat), Vec::new()));
 }
 
+#[test]
+fn the_largest_news_of_suspected_requests_fit_a_datagram() {
+    let evidence = Evidence {
+        fingerprint: crate::dispatch::quarantine::Fingerprint(u64::MAX),
+        crashes: vec![CrashId::of_run(1); MAX_CRASHES],
+        cleared: vec![CrashId::of_run(1); MAX_CRASHES],
+    };
+    let datagram = Datagram::Evidence(vec![evidence; MAX_EVIDENCE]);
+    let bytes = encode(&datagram).unwrap();
+    assert!(bytes.len() <= MAX_DATAGRAM, "{}", bytes.len());
+    assert_eq!(decode_datagram(&bytes).unwrap(), (datagram, Vec::new()));
+}
+
 fn heartbeat(era: u64) -> Heartbeat {
     Heartbeat {
         zone: "a".into(),
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -36,6 +36,7 @@
         prober.start_round();
         tokio::time::sleep(PROBE_SETTLE_TIME).await;
         send_heartbeats(&shared, &socket, false);
+        send_news(&shared, &socket);
         request_digests(&shared, &socket);
         let now = shared.now();
         let removed = {
@@ -66,6 +67,15 @@
     }
 }
 
+/// Sends what is new of requests suspected of crashing targets.
+fn send_news(shared: &Shared, socket: &UdpSocket) {
+    let now = shared.now();
+    let news = shared.state().next_news(now, rand::rng().random());
+    for (evidence, peers) in news {
+        send(shared, socket, &Datagram::Evidence(evidence), &peers);
+    }
+}
+
 /// Requests digests from peers in zones whose targets this instance needs.
 fn request_digests(shared: &Shared, socket: &UdpSocket) {
     let now = shared.now();
@@ -129,6 +139,7 @@
     match datagram {
         Datagram::Heartbeat(heartbeat) => state.receive_heartbeat(now, from, &heartbeat),
         Datagram::Digest(reports) => state.apply_digest(now, &reports),
+        Datagram::Evidence(evidence) => state.receive_evidence(now, from, &evidence),
         Datagram::DigestRequest => {
             let parts = state.digest(now);
             drop(state);
--- a/src/entry/state/heartbeats.rs
+++ b/src/entry/state/heartbeats.rs
@@ -6,9 +6,10 @@
 use indexmap::IndexMap;
 
 use super::State;
+use crate::dispatch::quarantine::{Audience, Evidence, PassOn};
 use crate::entry::members::PendingUpdates;
 use crate::entry::message::{
-    Heartbeat, MAX_CASES, MAX_LIMITS, MAX_REPORTS, RelayedStatus, TargetReport,
+    Heartbeat, MAX_CASES, MAX_EVIDENCE, MAX_LIMITS, MAX_REPORTS, RelayedStatus, TargetReport,
 };
 use crate::entry::target_limit::NamedLimit;
 use crate::names::ZoneName;
@@ -17,6 +18,8 @@
 /// One in this many heartbeats includes the address of another peer, so that all
 /// instances learn of a new one within seconds.
 const MEMBER_EVERY: usize = 4;
+/// Maximum records that are sent as news at a time.
+const MAX_NEWS: usize = 4 * MAX_EVIDENCE;
 /// Maximum age of this instance's own probe results in a heartbeat.
 const OWN_REPORT_AGE: Duration = Duration::from_millis(500);
 
@@ -161,9 +164,61 @@
             let at = now.before(Duration::from_millis(limit.age_ms.into()));
             self.record_limit(now, at, limit.target, limit.per_second);
         }
-        for evidence in &heartbeat.evidence {
+        self.receive_evidence(now, from, &heartbeat.evidence);
+        for case in &heartbeat.cases {
+            self.quarantine.merge(now, case);
+        }
+    }
+
+    /// News of requests suspected of crashing targets, and the peers to send them to: all
+    /// live ones, or in a large membership those of the own zone and a few of each other
+    /// zone, picked by `draw` in `0.0..1.0`, which pass them on in their zone.
+    pub(crate) fn next_news(
+        &mut self,
+        now: Time,
+        draw: f64,
+    ) -> Vec<(Vec<Evidence>, Vec<SocketAddr>)> {
+        if self.quarantine.is_empty() {
+            return Vec::new();
+        }
+        let (own_zone, other_zones) = self.members.news_receivers(now, &self.settings.zone, draw);
+        let receivers = [
+            (Audience::OwnZone, own_zone),
+            (Audience::OtherZones, other_zones),
+        ];
+        let mut news = Vec::new();
+        for (audience, peers) in receivers {
+            let is_other_zone = audience == Audience::OtherZones;
+            let mut known = self.members.known();
+            let zone = &self.settings.zone;
+            if peers.is_empty() && known.any(|(_, member)| (member.zone != *zone) == is_other_zone)
+            {
+                // They are silent, and get the news once they are live.
+                continue;
+            }
+            let evidence = self.quarantine.next_news(audience, MAX_NEWS);
+            if peers.is_empty() {
+                continue;
+            }
+            let parts = evidence.chunks(MAX_EVIDENCE);
+            news.extend(parts.map(|part| (part.to_vec(), peers.clone())));
+        }
+        news
+    }
+
+    /// Applies a peer's evidence on requests suspected of crashing targets.
+    pub(crate) fn receive_evidence(&mut self, now: Time, from: SocketAddr, evidence: &[Evidence]) {
+        let pass_on = if self
+            .members
+            .is_told_through_relays(from, &self.settings.zone)
+        {
+            PassOn::OwnZone
+        } else {
+            PassOn::No
+        };
+        for evidence in evidence {
             let before = self.quarantine.crashes(evidence.fingerprint);
-            if self.quarantine.merge_evidence(now, evidence) {
+            if self.quarantine.merge_evidence(now, evidence, pass_on) {
                 tracing::info!(
                     fingerprint = %evidence.fingerprint,
                     peer = %from,
@@ -173,9 +228,6 @@
                 );
             }
         }
-        for case in &heartbeat.cases {
-            self.quarantine.merge(now, case);
-        }
     }
 
     /// Applies statuses that a peer in the same zone relays.
--- a/src/entry/state/heartbeats/tests.rs
+++ b/src/entry/state/heartbeats/tests.rs
@@ -4,8 +4,7 @@
 
 use super::*;
 use crate::dispatch::quarantine::{CrashId, Fingerprint, QuarantineStatus};
-use crate::entry::message::Datagram;
-use crate::entry::message::{MAX_DATAGRAM, decode_datagram, encode_heartbeat};
+use crate::entry::message::{Datagram, MAX_DATAGRAM, decode_datagram, encode, encode_heartbeat};
 use crate::entry::settings::Tuning;
 use crate::entry::testing::settings;
 
@@ -83,11 +82,7 @@
                 panic!("{datagram:?}");
             };
             for peer in peers {
-                self.datagrams += 1;
-                if self
-                    .loss
-                    .is_some_and(|loss| self.datagrams.is_multiple_of(loss))
-                {
+                if self.is_lost() {
                     continue;
                 }
                 let receiver = self.states.get_mut(&peer).unwrap();
@@ -95,6 +90,33 @@
                 receiver.receive_relayed(self.now, &relayed);
             }
         }
+        self.send_news(index);
+    }
+
+    fn send_news(&mut self, index: usize) {
+        let (from, state) = self.states.get_index_mut(index).unwrap();
+        let from = *from;
+        for (evidence, peers) in state.next_news(self.now, 0.3) {
+            let bytes = encode(&Datagram::Evidence(evidence)).unwrap();
+            assert!(bytes.len() <= MAX_DATAGRAM, "{} bytes", bytes.len());
+            let (datagram, _) = decode_datagram(&bytes).unwrap();
+            let Datagram::Evidence(evidence) = datagram else {
+                panic!("{datagram:?}");
+            };
+            for peer in peers {
+                if self.is_lost() {
+                    continue;
+                }
+                let receiver = self.states.get_mut(&peer).unwrap();
+                receiver.receive_evidence(self.now, from, &evidence);
+            }
+        }
+    }
+
+    fn is_lost(&mut self) -> bool {
+        self.datagrams += 1;
+        self.loss
+            .is_some_and(|loss| self.datagrams.is_multiple_of(loss))
     }
 
     /// A target crashes under a request of the instance at `index`, and the requests of some
