Ask the quarantine again before each sending of a request

Cause: the quarantine was asked once, when a request had arrived. Change: it is asked when a target is chosen and right before the request is sent, after connecting and the check of the target; a request that may have run ends with 502 then, another one with 503.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -170,6 +170,9 @@
     /// The target was checked, and the request was not sent.
     #[from(ignore)]
     Declined(String),
+    /// The request was found to crash targets after its target was chosen.
+    #[from(ignore)]
+    Blocked,
 }
 
 /// Sends a request to a target and records the result.
@@ -222,6 +225,11 @@
     if let Some(path) = &plan.check_path {
         conn = check(shared, choice, conn, path, plan).await?;
     }
+    // Connecting and the check took some time.
+    if shared.state().is_blocked(shared.now(), plan.fingerprint) {
+        shared.pool.put(shared.now(), &choice.id, conn, None);
+        return Err(AttemptError::Blocked);
+    }
     let length = outbound.declared_length();
     let head = outbound.encode_head(&choice.id, length);
     let outgoing = OutgoingRequest {
@@ -392,7 +400,10 @@
         if let Some(view) = state.targets.run_mut(choice.run)
             && !matches!(
                 outcome,
-                AttemptOutcome::NotSent | AttemptOutcome::Declined | AttemptOutcome::BodyFailed
+                AttemptOutcome::NotSent
+                    | AttemptOutcome::Declined
+                    | AttemptOutcome::Blocked
+                    | AttemptOutcome::BodyFailed
             )
         {
             view.record_outcome(now, outcome != AttemptOutcome::Answered);
@@ -438,6 +449,10 @@
     let response = match result {
         Ok(response) => response,
         Err(AttemptError::Declined(cause)) => return (AttemptOutcome::Declined, None, cause),
+        Err(AttemptError::Blocked) => {
+            let cause = "the request has crashed targets".into();
+            return (AttemptOutcome::Blocked, None, cause);
+        }
         Err(AttemptError::Exchange(err)) => {
             let outcome = match err {
                 ExchangeError::NotSent(_) => AttemptOutcome::NotSent,
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -22,7 +22,7 @@
 use super::selection::{ChosenTarget, NoTarget};
 use super::shared::Shared;
 use super::upload::{self, UploadSettings};
-use crate::dispatch::quarantine::{Fingerprint, QuarantineStatus};
+use crate::dispatch::quarantine::Fingerprint;
 use crate::http1::client::Response;
 use crate::http1::server::{Reply, Request};
 use crate::names::{ServiceName, TargetId};
@@ -162,13 +162,9 @@
         self.fingerprint =
             super::attempt::fingerprint(&identity.host, &identity.method, &identity.target, &body);
         let now = self.shared.now();
-        let status = self.shared.state().quarantine.status(now, self.fingerprint);
-        if status == QuarantineStatus::Blocked {
-            tracing::info!(
-                request = &*self.outbound.id,
-                fingerprint = %self.fingerprint,
-                "blocked: the request has crashed targets"
-            );
+        let is_blocked = self.shared.state().is_blocked(now, self.fingerprint);
+        if is_blocked {
+            self.log_blocked();
             return Err(Outcome::Quarantined);
         }
         Ok(())
@@ -211,7 +207,11 @@
                         NextStep::Deliver => return self.deliver(completed),
                         NextStep::Retry | NextStep::RetryWithinBudget => failure = completed.response.or(failure),
                         NextStep::Refuse | NextStep::Fail => {
-                            return self.end_without_target(failure, Refusal::without_target(self.history, NoTarget::AllTried));
+                            let reason = match completed.outcome {
+                                AttemptOutcome::Blocked => NoTarget::Blocked,
+                                _ => NoTarget::AllTried,
+                            };
+                            return self.end_without_target(failure, Refusal::without_target(self.history, reason));
                         }
                     }
                 }
@@ -341,7 +341,7 @@
             match place.try_acquire() {
                 Ok(choice) => return Ok(choice),
                 Err(NoTarget::NoCapacity) => place.enqueue_or_refuse()?,
-                Err(reason @ (NoTarget::NoneUsable | NoTarget::AllTried)) => {
+                Err(reason @ (NoTarget::NoneUsable | NoTarget::Blocked | NoTarget::AllTried)) => {
                     return Err(Refusal::without_target(self.history, reason));
                 }
             }
@@ -407,3 +407,6 @@
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/entry/forward/ending.rs
+++ b/src/entry/forward/ending.rs
@@ -6,6 +6,7 @@
     DEFAULT_RETRY_AFTER, Outcome, Refusal, forward_response, implies_not_run, reply,
 };
 use crate::entry::retry::AttemptOutcome;
+use crate::entry::selection::NoTarget;
 use crate::http1::client::Response;
 use crate::http1::server::Reply;
 use crate::names::TargetId;
@@ -43,7 +44,20 @@
         (outcome, forward_response(response))
     }
 
+    pub(super) fn log_blocked(&self) {
+        tracing::info!(
+            request = &*self.outbound.id,
+            fingerprint = %self.fingerprint,
+            "blocked: the request has crashed targets"
+        );
+    }
+
     pub(super) fn refuse(&self, refusal: Refusal) -> (Outcome, Reply) {
+        if refusal.reason == NoTarget::Blocked {
+            self.log_blocked();
+            let outcome = Outcome::Quarantined;
+            return (outcome, reply(outcome, refusal.retry_after));
+        }
         let now = self.shared.now();
         let service = &self.admitted.service;
         let counts = self.shared.state().target_counts(now, service);
--- a/src/entry/forward/queue_place.rs
+++ b/src/entry/forward/queue_place.rs
@@ -22,6 +22,9 @@
         let now = call.shared.now();
         let requirements = call.requirements(call.service_time());
         let mut state = call.shared.state();
+        if state.is_blocked(now, call.fingerprint) {
+            return Err(NoTarget::Blocked);
+        }
         let service = &call.admitted.service;
         let priority = call.admitted.route.priority;
         // A request that left its target after a check keeps its turn.
--- a/src/entry/retry.rs
+++ b/src/entry/retry.rs
@@ -15,6 +15,8 @@
     NotSent,
     /// The target was checked first, and nothing was sent: it is slow or gone.
     Declined,
+    /// Nothing was sent: the request was found to crash targets meanwhile.
+    Blocked,
     /// The target states that it did not run the request.
     NotRun,
     /// A complete response that reports success, which must be signed, or an error of the
@@ -48,6 +50,7 @@
             AttemptOutcome::NotSent => self.unsent += 1,
             AttemptOutcome::Declined => self.declined += 1,
             AttemptOutcome::NotRun => self.shed += 1,
+            AttemptOutcome::Blocked => {}
             AttemptOutcome::Answered
             | AttemptOutcome::TargetFailed
             | AttemptOutcome::Lost
@@ -114,6 +117,7 @@
         _ if history.not_run() => NextStep::Refuse,
         AttemptOutcome::NotSent
         | AttemptOutcome::Declined
+        | AttemptOutcome::Blocked
         | AttemptOutcome::NotRun
         | AttemptOutcome::Lost
         | AttemptOutcome::BodyFailed => NextStep::Fail,
--- a/src/entry/retry/tests.rs
+++ b/src/entry/retry/tests.rs
@@ -41,13 +41,16 @@
 
 #[test]
 fn a_request_is_refused_only_if_no_target_can_have_run_it() {
+    use AttemptOutcome::{Answered, Blocked, Declined, Lost, NotRun, NotSent, TargetFailed};
     arbtest::arbtest(|u| {
         let all = [
-            AttemptOutcome::NotSent,
-            AttemptOutcome::NotRun,
-            AttemptOutcome::Answered,
-            AttemptOutcome::TargetFailed,
-            AttemptOutcome::Lost,
+            NotSent,
+            Declined,
+            Blocked,
+            NotRun,
+            Answered,
+            TargetFailed,
+            Lost,
         ];
         let mut outcomes = Vec::new();
         for _ in 0..u.int_in_range(1..=6_u8)? {
@@ -64,7 +67,7 @@
         ];
         let may_have_run = outcomes
             .iter()
-            .any(|outcome| !matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::NotRun));
+            .any(|outcome| !matches!(outcome, NotSent | Declined | Blocked | NotRun));
         assert!(
             !next_steps.contains(&NextStep::Refuse) || !may_have_run,
             "{outcomes:?}"
--- a/src/entry/selection.rs
+++ b/src/entry/selection.rs
@@ -44,6 +44,9 @@
     /// objective.
     #[display("no room within the objective")]
     NoCapacity,
+    /// The request has crashed targets.
+    #[display("the request has crashed targets")]
+    Blocked,
     /// Every remaining target was tried already.
     #[display("every target was tried")]
     AllTried,
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -27,7 +27,7 @@
 use super::wait_queue::WaitQueue;
 use super::watchers::{StoreAccess, should_watch, watching};
 use super::window::{RetryBudget, RetryBudgetRule, slack_share};
-use crate::dispatch::quarantine::{Quarantine, QuarantineSettings};
+use crate::dispatch::quarantine::{Fingerprint, Quarantine, QuarantineSettings, QuarantineStatus};
 use crate::names::{ServiceName, TargetId, ZoneName};
 use crate::platform::prepared::store::RejectedRecord;
 use crate::units::Time;
@@ -242,6 +242,11 @@
             .map_or(1.0, |percent| percent / 100.0)
     }
 
+    /// Whether a request is blocked as it has crashed targets.
+    pub(crate) fn is_blocked(&self, now: Time, fingerprint: Fingerprint) -> bool {
+        self.quarantine.status(now, fingerprint) == QuarantineStatus::Blocked
+    }
+
     /// Releases the capacity reserved for a request, at the run of a target that `run`
     /// identifies, that ended or was never sent.
     pub(crate) fn release(&mut self, run: u64) {
--- a/src/entry/testing.rs
+++ b/src/entry/testing.rs
@@ -1,8 +1,28 @@
-//! Settings of instances in tests.
+//! Instances, their settings and requests in tests.
 
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-use super::settings::EntrySettings;
+use http::{HeaderName, HeaderValue};
+use standin::prepared::target::TargetStandin;
+
+use super::metrics::EntryMetrics;
+use super::model::{
+    CallerLimits, Change, Configuration, Record, RetrySafety, Route, ServiceLimits, Target,
+    WeightedService,
+};
+use super::replica::Delta;
+use super::settings::{EntrySettings, Tuning};
+use super::shared::Shared;
+use super::state::State;
+use crate::http1::request_body::{BodyMemory, RequestBody};
+use crate::http1::server::Request;
+use crate::units::Clock;
+
+/// Requests that an instance has served before.
+const EARLIER_REQUESTS: usize = 100;
+/// Requests that a target runs at a time.
+const SLOTS: u32 = 6;
 
 /// Settings of an instance at `ip` in `zone`, with some limits.
 pub(crate) fn settings(ip: [u8; 4], zone: &str) -> EntrySettings {
@@ -28,3 +48,93 @@
         body_memory: 16 << 20,
     }
 }
+
+/// An instance that knows these targets of the service `s`, and one route to it for all
+/// paths of `x.example`, whose requests may run more than once.
+pub(crate) fn instance(targets: &[&TargetStandin]) -> Arc<Shared> {
+    let clock = Clock::start();
+    let now = clock.now();
+    let mut state = State::new(settings([127, 0, 0, 1], "a"), Tuning::default(), now);
+    let mut records = vec![Record::Configuration(Arc::new(configuration()))];
+    records.extend(targets.iter().map(|target| {
+        Record::Target(Target {
+            id: target.id.as_str().into(),
+            service: "s".into(),
+            address: target.address(),
+            zone: "a".into(),
+            slots: SLOTS,
+            leaving: false,
+            cold_for: Duration::ZERO,
+            started_ms: 1,
+        })
+    }));
+    let revision = records.len() as u64;
+    let changes = (1..).zip(records).map(|(revision, record)| Change {
+        key: revision.to_string().into(),
+        revision,
+        record: Some(record),
+    });
+    let delta = Delta {
+        era: 0,
+        revision,
+        complete: true,
+        changes: changes.collect(),
+    };
+    state.apply(now, delta, "store");
+    // An instance that has just started may only retry by the ratio of its requests.
+    for _ in 0..EARLIER_REQUESTS {
+        state.record_request(now, &"s".into());
+    }
+    Arc::new(Shared::new(state, clock, EntryMetrics::new().unwrap()))
+}
+
+fn configuration() -> Configuration {
+    let route = Route {
+        name: "r".into(),
+        host: "x.example".into(),
+        prefix: "/".into(),
+        retry_safety: RetrySafety::Safe,
+        timeout: Duration::from_secs(20),
+        objective: Duration::from_secs(10),
+        priority: 1,
+        max_attempts: 3,
+        parts: vec![WeightedService {
+            service: "s".into(),
+            weight: 1.0,
+        }],
+    };
+    let limits = ServiceLimits {
+        health_path: "/health".into(),
+        max_connections: 100,
+        cold_rate: 20.0,
+    };
+    Configuration {
+        version: 1,
+        routes: vec![route],
+        services: [("s".into(), limits)].into_iter().collect(),
+        bounds: CallerLimits::default(),
+        unknown_kinds: Vec::new(),
+    }
+}
+
+/// A request without a body, as a caller sends it.
+pub(crate) fn request(target: &str, id: &str) -> Request {
+    let memory = Arc::new(BodyMemory::new(0, 0));
+    let body = RequestBody::new(Some(0), memory);
+    body.end(Ok(()));
+    let headers = [("host", "x.example"), ("x-request-id", id)];
+    Request {
+        method: "GET".into(),
+        target: target.into(),
+        headers: headers
+            .into_iter()
+            .map(|(name, value)| {
+                let name = HeaderName::from_static(name);
+                (name, HeaderValue::from_str(value).unwrap())
+            })
+            .collect(),
+        body: Arc::new(body),
+        received: Instant::now(),
+        chunked: false,
+    }
+}
