Recognize a repeated request by path and body for the quarantine

Cause: the fingerprint covered the query, and the declared length of a long body, so that a request that crashes targets was another one when it came again with another query, or in chunks. Change: a request has two fingerprints, by path and body and with the query; either may be blocked, and a response clears both.

--- a/src/dispatch/crash.rs
+++ b/src/dispatch/crash.rs
@@ -70,7 +70,7 @@
     instance
         .dispatch
         .quarantine()
-        .record_broken_call(now, target, fingerprint);
+        .record_broken_call(now, target, [fingerprint]);
     tokio::time::sleep(CHECK_DELAY).await;
     if !has_crashed(instance, target).await {
         return;
--- a/src/dispatch/quarantine.rs
+++ b/src/dispatch/quarantine.rs
@@ -62,7 +62,9 @@
 }
 
 /// Hash of what makes two calls the same request: service, method, path and body.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
 #[serde(transparent)]
 pub struct Fingerprint(pub u64);
 
@@ -240,13 +242,20 @@
 pub struct Quarantine {
     settings: QuarantineSettings,
     records: IndexMap<Fingerprint, Record>,
-    broken_calls: IndexMap<SocketAddr, Vec<(Fingerprint, Time)>>,
+    broken_calls: IndexMap<SocketAddr, Vec<BrokenCall>>,
     running_suspects: IndexMap<SocketAddr, Fingerprint>,
     reports_sent: u64,
     records_dropped: u64,
     start_ids: IndexMap<SocketAddr, String>,
 }
 
+/// A call that broke off on a target.
+#[derive(Debug, Clone)]
+struct BrokenCall {
+    fingerprints: Vec<Fingerprint>,
+    at: Time,
+}
+
 /// Number of records of a [`Quarantine`].
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct QuarantineSize {
@@ -333,22 +342,25 @@
         self.store(fingerprint, record);
     }
 
-    /// Records that a call broke off on a target, which may be due to a crash; returns
-    /// whether it is the only one there for now.
+    /// Records that a call with these fingerprints broke off on a target, which may be due to
+    /// a crash; returns whether it is the only one there for now.
     pub fn record_broken_call(
         &mut self,
         now: Time,
         target: SocketAddr,
-        fingerprint: Fingerprint,
+        fingerprints: impl IntoIterator<Item = Fingerprint>,
     ) -> bool {
         let crash_window = self.settings.crash_window;
         self.broken_calls.retain(|_, calls| {
-            calls.retain(|(_, at)| now.since(*at) <= crash_window);
+            calls.retain(|call| now.since(call.at) <= crash_window);
             !calls.is_empty()
         });
         let calls = self.broken_calls.entry(target).or_default();
         if calls.len() < self.settings.max_records {
-            calls.push((fingerprint, now));
+            calls.push(BrokenCall {
+                fingerprints: fingerprints.into_iter().collect(),
+                at: now,
+            });
         }
         calls.len() == 1
     }
@@ -394,8 +406,8 @@
             .swap_remove(&target)
             .unwrap_or_default()
             .into_iter()
-            .filter(|(_, at)| now.since(*at) <= crash_window)
-            .map(|(fingerprint, _)| fingerprint)
+            .filter(|call| now.since(call.at) <= crash_window)
+            .flat_map(|call| call.fingerprints)
             .collect();
         present.sort_unstable();
         present.dedup();
--- a/src/dispatch/quarantine/tests.rs
+++ b/src/dispatch/quarantine/tests.rs
@@ -17,7 +17,7 @@
     calls: &[Fingerprint],
 ) -> Vec<Case> {
     for call in calls {
-        quarantine.record_broken_call(now, at, *call);
+        quarantine.record_broken_call(now, at, [*call]);
     }
     quarantine.record_crash(now, at, None)
 }
@@ -198,7 +198,7 @@
 
 fn crash_of_run(quarantine: &mut Quarantine, run: u64, call: Fingerprint) {
     let at = target(u16::try_from(run).unwrap());
-    quarantine.record_broken_call(Time::ZERO, at, call);
+    quarantine.record_broken_call(Time::ZERO, at, [call]);
     quarantine.record_crash(Time::ZERO, at, Some(CrashId::of_run(run)));
 }
 
@@ -255,7 +255,7 @@
     let bystander = Fingerprint(1);
     for run in 1..=3 {
         let at = target(u16::try_from(run).unwrap());
-        quarantine.record_broken_call(Time::ZERO, at, bystander);
+        quarantine.record_broken_call(Time::ZERO, at, [bystander]);
         crash_of_run(&mut quarantine, run, CRASHER);
         if run == 2 {
             quarantine.record_response(Time::ZERO, bystander);
@@ -321,7 +321,7 @@
 #[test]
 fn a_call_that_broke_off_long_before_a_crash_is_not_suspected() {
     let mut quarantine = Quarantine::default();
-    quarantine.record_broken_call(Time::ZERO, target(1), CRASHER);
+    quarantine.record_broken_call(Time::ZERO, target(1), [CRASHER]);
     let later = Time::ZERO.after(2 * SECOND);
     assert!(quarantine.record_crash(later, target(1), None).is_empty());
 }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -1,20 +1,17 @@
 //! One attempt of a request at one target.
 
-use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::BytesMut;
-use siphasher::sip::SipHasher13;
 
+use super::fingerprint::RequestFingerprints;
 use super::placement::Requirements;
 use super::pool::TargetConn;
 use super::probe;
 use super::retry::AttemptOutcome;
 use super::selection::ChosenTarget;
 use super::shared::Shared;
-use super::upload::FINGERPRINT_BYTES;
-use crate::dispatch::quarantine::Fingerprint;
 use crate::http1::client::{Conn, ExchangeError, OutgoingBody, OutgoingRequest, Response};
 use crate::http1::request_body::RequestBody;
 use crate::http1::server::Request;
@@ -26,8 +23,6 @@
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Characters of a request's path that log lines contain.
 const MAX_LOGGED_PATH: usize = 96;
-/// Keys of the fingerprint hash; every instance must use the same.
-const HASH_KEYS: (u64, u64) = (0x7265_7175_6573_745f, 0x6669_6e67_6572_7072);
 
 /// A request in the form that is sent to targets.
 #[derive(Debug)]
@@ -118,24 +113,6 @@
     path.chars().take(MAX_LOGGED_PATH).collect()
 }
 
-/// Fingerprint of a request: a hash of host, method, path and query, and of the start
-/// and the declared length of a long body.
-pub(crate) fn fingerprint(
-    host: &str,
-    method: &str,
-    target: &str,
-    body: &RequestBody,
-) -> Fingerprint {
-    let mut hasher = SipHasher13::new_with_keys(HASH_KEYS.0, HASH_KEYS.1);
-    let start = body.first_bytes(FINGERPRINT_BYTES);
-    (host, method, target, &*start).hash(&mut hasher);
-    let declared = body.arrival().declared;
-    if start.len() == FINGERPRINT_BYTES && declared != Some(FINGERPRINT_BYTES) {
-        declared.hash(&mut hasher);
-    }
-    Fingerprint(hasher.finish())
-}
-
 /// Result of an attempt.
 #[derive(Debug)]
 pub(crate) struct CompletedAttempt {
@@ -153,7 +130,7 @@
     /// Whether the request must not run more than once.
     pub at_most_once: bool,
     /// Identifies equal requests for the quarantine.
-    pub fingerprint: Fingerprint,
+    pub fingerprints: RequestFingerprints,
     /// Path of the health check to send first; `None` to send the request at once.
     pub check_path: Option<Arc<str>>,
     /// What the request requires of its target.
@@ -189,10 +166,10 @@
     let started = Instant::now();
     let result = exchange(&shared, &outbound, &mut choice, &plan).await;
     let (outcome, response) =
-        shared.record_result(&outbound, &choice, started, plan.fingerprint, result);
+        shared.record_result(&outbound, &choice, started, plan.fingerprints, result);
     drop(in_flight);
     if outcome == AttemptOutcome::Lost {
-        shared.record_broken_call(&choice, plan.fingerprint);
+        shared.record_broken_call(&choice, plan.fingerprints);
     }
     CompletedAttempt {
         choice,
@@ -226,7 +203,7 @@
         conn = check(shared, choice, conn, path, plan).await?;
     }
     // Connecting and the check took some time.
-    if shared.state().is_blocked(shared.now(), plan.fingerprint) {
+    if shared.state().is_blocked(shared.now(), plan.fingerprints) {
         shared.pool.put(shared.now(), &choice.id, conn, None);
         return Err(AttemptError::Blocked);
     }
@@ -361,12 +338,17 @@
 
 impl Shared {
     /// Records that a call broke off on a target, and checks whether the target crashed.
-    fn record_broken_call(self: &Arc<Self>, choice: &ChosenTarget, fingerprint: Fingerprint) {
+    fn record_broken_call(
+        self: &Arc<Self>,
+        choice: &ChosenTarget,
+        fingerprints: RequestFingerprints,
+    ) {
         let now = self.now();
         let mut state = self.state();
-        let is_first = state
-            .quarantine
-            .record_broken_call(now, choice.address, fingerprint);
+        let is_first =
+            state
+                .quarantine
+                .record_broken_call(now, choice.address, fingerprints.each());
         if is_first {
             let checking = probe::check_after_broken_call(self.clone(), choice.id.clone());
             tokio::spawn(checking);
@@ -379,7 +361,7 @@
         outbound: &OutboundRequest,
         choice: &ChosenTarget,
         started: Instant,
-        fingerprint: Fingerprint,
+        fingerprints: RequestFingerprints,
         result: Result<Response, AttemptError>,
     ) -> (AttemptOutcome, Option<Response>) {
         let now = self.now();
@@ -409,7 +391,9 @@
             view.record_outcome(now, outcome != AttemptOutcome::Answered);
         }
         if outcome == AttemptOutcome::Answered {
-            state.quarantine.record_response(now, fingerprint);
+            for fingerprint in fingerprints.each() {
+                state.quarantine.record_response(now, fingerprint);
+            }
             let at = &choice.candidate;
             if let Some(percent) = at.slowness_percent
                 && at.occupied < at.slots
@@ -427,7 +411,7 @@
             tracing::info!(
                 request = &*outbound.id,
                 path = &*outbound.path,
-                %fingerprint,
+                fingerprint = %fingerprints.path(),
                 target = %choice.id,
                 address = %choice.address,
                 fact = ?outcome,
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -14,6 +14,7 @@
 
 use self::queue_place::QueuePlace;
 use super::attempt::{AttemptPlan, CompletedAttempt, OutboundRequest};
+use super::fingerprint::RequestFingerprints;
 use super::hedge::{self, Progress};
 use super::model::{RetrySafety, Route};
 use super::outcome::{DEFAULT_RETRY_AFTER, Outcome, Refusal, reply};
@@ -22,7 +23,6 @@
 use super::selection::{ChosenTarget, NoTarget};
 use super::shared::Shared;
 use super::upload::{self, UploadSettings};
-use crate::dispatch::quarantine::Fingerprint;
 use crate::http1::client::Response;
 use crate::http1::server::{Reply, Request};
 use crate::names::{ServiceName, TargetId};
@@ -52,7 +52,7 @@
             let mut call = Call {
                 shared: &shared,
                 identity,
-                fingerprint: Fingerprint(0),
+                fingerprints: RequestFingerprints::default(),
                 outbound: Arc::new(OutboundRequest::new(
                     req,
                     meta,
@@ -125,7 +125,7 @@
     outbound: Arc<OutboundRequest>,
     identity: RequestIdentity,
     /// Identifies equal requests for the quarantine; known once a target may be taken.
-    fingerprint: Fingerprint,
+    fingerprints: RequestFingerprints,
     admitted: AdmittedRequest,
     deadline: Instant,
     history: AttemptHistory,
@@ -159,10 +159,10 @@
             }
         }
         let identity = &self.identity;
-        self.fingerprint =
-            super::attempt::fingerprint(&identity.host, &identity.method, &identity.target, &body);
+        self.fingerprints =
+            RequestFingerprints::new(&identity.host, &identity.method, &identity.target, &body);
         let now = self.shared.now();
-        let is_blocked = self.shared.state().is_blocked(now, self.fingerprint);
+        let is_blocked = self.shared.state().is_blocked(now, self.fingerprints);
         if is_blocked {
             self.log_blocked();
             return Err(Outcome::Quarantined);
@@ -322,7 +322,7 @@
             .begin_check(now, &choice, service_time, checks);
         let plan = AttemptPlan {
             at_most_once: self.admitted.route.retry_safety == RetrySafety::Never,
-            fingerprint: self.fingerprint,
+            fingerprints: self.fingerprints,
             check_path,
             requirements: self.requirements(service_time),
             tried: self.tried.clone(),
--- a/src/entry/forward/ending.rs
+++ b/src/entry/forward/ending.rs
@@ -47,7 +47,7 @@
     pub(super) fn log_blocked(&self) {
         tracing::info!(
             request = &*self.outbound.id,
-            fingerprint = %self.fingerprint,
+            fingerprint = %self.fingerprints.path(),
             "blocked: the request has crashed targets"
         );
     }
--- a/src/entry/forward/queue_place.rs
+++ b/src/entry/forward/queue_place.rs
@@ -22,7 +22,7 @@
         let now = call.shared.now();
         let requirements = call.requirements(call.service_time());
         let mut state = call.shared.state();
-        if state.is_blocked(now, call.fingerprint) {
+        if state.is_blocked(now, call.fingerprints) {
             return Err(NoTarget::Blocked);
         }
         let service = &call.admitted.service;
--- a/src/entry/forward/tests.rs
+++ b/src/entry/forward/tests.rs
@@ -11,9 +11,9 @@
 /// Attributes three crashes to the requests with [`PATH`], as peers report them.
 fn block(shared: &Shared) {
     let body = request(PATH, "").body;
-    let fingerprint = crate::entry::attempt::fingerprint("x.example", "GET", PATH, &body);
+    let fingerprints = RequestFingerprints::new("x.example", "GET", PATH, &body);
     let evidence = crate::dispatch::quarantine::Evidence {
-        fingerprint,
+        fingerprint: fingerprints.path(),
         crashes: (1..=3).map(CrashId::of_run).collect(),
         cleared: Vec::new(),
     };
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod digest;
 pub(crate) mod directory;
 mod endpoints;
+mod fingerprint;
 mod forward;
 pub(crate) mod hedge;
 pub(crate) mod load;
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -16,6 +16,7 @@
 
 use self::heartbeats::OwnReport;
 use super::directory::{self, DirectoryEntry};
+use super::fingerprint::RequestFingerprints;
 use super::members::{InstanceStatus, Members};
 use super::message::TargetReport;
 use super::model::{CallerLimits, Route};
@@ -27,7 +28,7 @@
 use super::wait_queue::WaitQueue;
 use super::watchers::{StoreAccess, should_watch, watching};
 use super::window::{RetryBudget, RetryBudgetRule, slack_share};
-use crate::dispatch::quarantine::{Fingerprint, Quarantine, QuarantineSettings, QuarantineStatus};
+use crate::dispatch::quarantine::{Quarantine, QuarantineSettings, QuarantineStatus};
 use crate::names::{ServiceName, TargetId, ZoneName};
 use crate::platform::prepared::store::RejectedRecord;
 use crate::units::Time;
@@ -243,8 +244,11 @@
     }
 
     /// Whether a request is blocked as it has crashed targets.
-    pub(crate) fn is_blocked(&self, now: Time, fingerprint: Fingerprint) -> bool {
-        self.quarantine.status(now, fingerprint) == QuarantineStatus::Blocked
+    pub(crate) fn is_blocked(&self, now: Time, fingerprints: RequestFingerprints) -> bool {
+        let mut each = fingerprints.each();
+        each.any(|fingerprint| {
+            self.quarantine.status(now, fingerprint) == QuarantineStatus::Blocked
+        })
     }
 
     /// Releases the capacity reserved for a request, at the run of a target that `run`
--- a/src/entry/state/heartbeats/tests.rs
+++ b/src/entry/state/heartbeats/tests.rs
@@ -133,10 +133,10 @@
             let fingerprint = Fingerprint(hasher.finish());
             state
                 .quarantine
-                .record_broken_call(now, target, fingerprint);
+                .record_broken_call(now, target, [fingerprint]);
         }
         let (_, state) = self.states.get_index_mut(index % count).unwrap();
-        state.quarantine.record_broken_call(now, target, CRASHER);
+        state.quarantine.record_broken_call(now, target, [CRASHER]);
         for state in self.states.values_mut() {
             let id = CrashId::of_run(run);
             state.quarantine.record_crash(now, target, Some(id));
--- a/src/entry/upload.rs
+++ b/src/entry/upload.rs
@@ -7,11 +7,9 @@
 
 use std::time::Duration;
 
+use super::fingerprint::FINGERPRINT_BYTES;
 use crate::http1::request_body::Arrival;
 
-/// Bytes at the start of a body that tell requests with the same path apart.
-pub const FINGERPRINT_BYTES: usize = 4 << 10;
-
 /// Parameters of the decision.
 #[derive(Debug, Clone, PartialEq)]
 pub struct UploadSettings {
