Drop the records of suspects with the fewest crashes first

Change: the record with the fewest crashes goes first, the oldest of these. Result: two tests that failed before (a blocked request was clear, one with two crashes forgot them, after 5,000 other suspects) pass.

--- a/src/dispatch/quarantine.rs
+++ b/src/dispatch/quarantine.rs
@@ -40,7 +40,8 @@
     pub suspect_duration: Duration,
     /// Calls that broke off within this time before a crash are attributed to it.
     pub crash_window: Duration,
-    /// Maximum number of suspected or blocked requests; the oldest records are dropped.
+    /// Maximum number of suspected or blocked requests; the oldest records of those with the
+    /// fewest crashes are dropped.
     pub max_records: usize,
     /// Whether suspects run apart from each other, see
     /// [`Quarantine::try_start_suspect`], and a crash with exactly one suspect present is
@@ -587,7 +588,15 @@
     fn store(&mut self, fingerprint: Fingerprint, record: Record) {
         self.records.insert(fingerprint, record);
         while self.records.len() > self.settings.max_records {
-            self.records.shift_remove_index(0);
+            let least = self
+                .records
+                .values()
+                .enumerate()
+                .min_by_key(|(index, record)| (record.deaths(), record.blocked_until, *index));
+            let Some((index, _)) = least else {
+                return;
+            };
+            self.records.shift_remove_index(index);
             self.records_dropped += 1;
         }
     }
--- a/src/dispatch/quarantine/tests.rs
+++ b/src/dispatch/quarantine/tests.rs
@@ -139,6 +139,49 @@
     assert!(quarantine.is_empty());
 }
 
+/// Each crash of a target adds records of the requests that ran beside the one that caused it.
+#[test]
+fn a_blocked_request_stays_blocked_however_many_others_are_suspected_later() {
+    let mut quarantine = Quarantine::new(three_crashes());
+    for run in 1..=3 {
+        crash_of_run(&mut quarantine, run, CRASHER);
+    }
+    for number in 1..5_000 {
+        crash(
+            &mut quarantine,
+            Time::ZERO,
+            target(1),
+            &[Fingerprint(number)],
+        );
+    }
+    assert_eq!(
+        quarantine.status(Time::ZERO, CRASHER),
+        QuarantineStatus::Blocked
+    );
+    assert_eq!(quarantine.size().records, 1024);
+}
+
+#[test]
+fn a_request_suspected_of_two_crashes_is_kept_before_those_suspected_of_one() {
+    let mut quarantine = Quarantine::new(three_crashes());
+    for run in 1..=2 {
+        crash_of_run(&mut quarantine, run, CRASHER);
+    }
+    for number in 1..5_000 {
+        crash(
+            &mut quarantine,
+            Time::ZERO,
+            target(1),
+            &[Fingerprint(number)],
+        );
+    }
+    crash_of_run(&mut quarantine, 3, CRASHER);
+    assert_eq!(
+        quarantine.status(Time::ZERO, CRASHER),
+        QuarantineStatus::Blocked
+    );
+}
+
 /// Sends one crashing request repeatedly beside others; returns whether it crashed
 /// more than two targets or another request was blocked.
 fn violates_rule(settings: QuarantineSettings, u: &mut Unstructured<'_>) -> bool {
