--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -325,6 +325,7 @@
     shared.metrics.connects.inc();
     let opened = Conn::connect(choice.address, limit).await;
     if opened.is_err() {
+        shared.metrics.connect_failures.inc();
         let now = shared.now();
         if let Some(view) = shared.state().targets.run_mut(choice.run) {
             view.mark_down(now);
@@ -404,6 +405,10 @@
                     .record(&outbound.route, took, percent / 100.0);
             }
         }
+        let reported = state.targets.run_mut(choice.run).map(|view| {
+            let age = view.probed_at.map(|at| now.since(at));
+            (view.health, age)
+        });
         drop(state);
         if outcome == AttemptOutcome::Answered {
             self.metrics.record_attempt(started.elapsed());
@@ -416,7 +421,9 @@
                 address = %choice.address,
                 fact = ?outcome,
                 cause,
-                took_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX),
+                health = ?reported.map(|(health, _)| health),
+                probe_age_ms = reported.and_then(|(_, age)| age).map(millis),
+                took_ms = millis(started.elapsed()),
                 "attempt failed"
             );
         }
@@ -424,6 +431,10 @@
     }
 }
 
+fn millis(duration: std::time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns the outcome of an exchange, the response if it may be forwarded, and the
 /// cause of a failure.
 fn classify(
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -27,6 +27,8 @@
     pub hedges: IntCounter,
     /// Connections opened to targets.
     pub connects: IntCounter,
+    /// Connections to targets for requests that could not be opened.
+    pub connect_failures: IntCounter,
     /// Health checks sent to targets.
     pub probes: IntCounter,
     /// Checks of a target right before a request.
@@ -87,6 +89,10 @@
             retries: counter("entry_repeats_total", "Retries that used the retry budget.")?,
             hedges: counter("entry_hedges_total", "Hedges sent beside a slow attempt.")?,
             connects: counter("entry_connects_total", "Connections opened to targets.")?,
+            connect_failures: counter(
+                "entry_connect_failures_total",
+                "Connections to targets that could not be opened.",
+            )?,
             probes: counter("entry_probes_total", "Health checks sent to targets.")?,
             prechecks: counter(
                 "entry_prechecks_total",
