Add failing tests of an instance without a path to its targets

Change: tests of an instance in one process, with targets that refuse or never answer and a peer that reports them as good.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -39,6 +39,8 @@
 pub(crate) mod targets;
 #[cfg(test)]
 mod testing;
+#[cfg(test)]
+mod tests;
 pub(crate) mod upload;
 pub(crate) mod wait_queue;
 pub(crate) mod watchers;
--- a/src/entry/testing.rs
+++ b/src/entry/testing.rs
@@ -1,5 +1,6 @@
 //! Instances, their settings and requests in tests.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -52,15 +53,21 @@
 /// An instance that knows these targets of the service `s`, and one route to it for all
 /// paths of `x.example`, whose requests may run more than once.
 pub(crate) fn instance(targets: &[&TargetStandin]) -> Arc<Shared> {
+    let targets = targets.iter().map(|target| (&*target.id, target.address()));
+    instance_with(&targets.collect::<Vec<_>>())
+}
+
+/// Like [`instance`], with targets of these ids and addresses.
+pub(crate) fn instance_with(targets: &[(&str, SocketAddr)]) -> Arc<Shared> {
     let clock = Clock::start();
     let now = clock.now();
     let mut state = State::new(settings([127, 0, 0, 1], "a"), Tuning::default(), now);
     let mut records = vec![Record::Configuration(Arc::new(configuration()))];
-    records.extend(targets.iter().map(|target| {
+    records.extend(targets.iter().map(|(id, address)| {
         Record::Target(Target {
-            id: target.id.as_str().into(),
+            id: (*id).into(),
             service: "s".into(),
-            address: target.address(),
+            address: *address,
             zone: "a".into(),
             slots: SLOTS,
             leaving: false,
