Refuse a request whose deadline passes before any target got it

Cause: callers of instances without a path to the targets got 504 at the deadline, which promises nothing, though the request was still being connected or its target checked. Change: an attempt notes that it sends the request; at the deadline, one that nothing was sent of is refused with 503 and a time to retry after. The test's requests have a deadline of 200 ms now and its reports an age of 40 ms, as after three checks without an answer a request is sent to a fourth target, and 504 is right then.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt of a request at one target.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use bytes::BytesMut;
@@ -137,6 +138,8 @@
     pub requirements: Requirements,
     /// Targets that the request does not go to instead.
     pub tried: Vec<TargetId>,
+    /// Set once the request may run because of a running attempt.
+    pub may_run: Arc<AtomicBool>,
 }
 
 /// Why an attempt has no response.
@@ -224,6 +227,7 @@
             .id
             .is_none_or(|id| *id == *outbound.id)
     };
+    plan.may_run.store(true, Ordering::Relaxed);
     let response = conn.conn.exchange(&outgoing, matches_request).await?;
     let meta = wire::response_meta(response.status, &response.headers);
     shared
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -7,6 +7,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use futures_util::StreamExt;
@@ -64,6 +65,7 @@
                 history: AttemptHistory::default(),
                 tried: Vec::new(),
                 hedged: false,
+                may_run: Arc::default(),
                 progress: Progress::default(),
             };
             match call.wait_for_body().await {
@@ -131,6 +133,8 @@
     history: AttemptHistory,
     tried: Vec<TargetId>,
     hedged: bool,
+    /// Set by running attempts once they send the request.
+    may_run: Arc<AtomicBool>,
     /// Estimated progress of the last attempt.
     progress: Progress,
 }
@@ -190,6 +194,10 @@
                 biased;
                 Some(completed) = running.next() => {
                     self.history.record(completed.outcome);
+                    if running.is_empty() {
+                        // What was sent is in the history.
+                        self.may_run.store(false, Ordering::Relaxed);
+                    }
                     if completed.outcome == AttemptOutcome::Declined {
                         // It may be selected again once its report is better.
                         self.tried.retain(|id| *id != completed.choice.id);
@@ -326,6 +334,7 @@
             check_path,
             requirements: self.requirements(service_time),
             tried: self.tried.clone(),
+            may_run: self.may_run.clone(),
         };
         self.tried.push(choice.id.clone());
         self.progress = Progress::default();
@@ -341,7 +350,7 @@
             match place.try_acquire() {
                 Ok(choice) => return Ok(choice),
                 Err(NoTarget::NoCapacity) => place.enqueue_or_refuse()?,
-                Err(reason @ (NoTarget::NoneUsable | NoTarget::Blocked | NoTarget::AllTried)) => {
+                Err(reason) => {
                     return Err(Refusal::without_target(self.history, reason));
                 }
             }
--- a/src/entry/forward/ending.rs
+++ b/src/entry/forward/ending.rs
@@ -1,5 +1,7 @@
 //! How a request ends: the response to it, and the log line that says why.
 
+use std::sync::atomic::Ordering;
+
 use super::{Call, millis};
 use crate::entry::attempt::CompletedAttempt;
 use crate::entry::outcome::{
@@ -100,8 +102,12 @@
         }
     }
 
-    /// Ends a request at its deadline; its attempts are cancelled.
+    /// Ends a request at its deadline; its attempts are cancelled. One that no target got
+    /// is refused.
     pub(super) fn time_out(&self) -> (Outcome, Reply) {
+        if self.history.not_run() && !self.may_run.load(Ordering::Relaxed) {
+            return self.refuse(Refusal::new(NoTarget::TooLate, DEFAULT_RETRY_AFTER));
+        }
         let now = self.shared.now();
         let last = self.tried.last();
         let slowness = last.map(|target| self.shared.state().slowness(now, target));
--- a/src/entry/selection.rs
+++ b/src/entry/selection.rs
@@ -47,6 +47,9 @@
     /// The request has crashed targets.
     #[display("the request has crashed targets")]
     Blocked,
+    /// No target got the request before its deadline.
+    #[display("the deadline passed before any target got the request")]
+    TooLate,
     /// Every remaining target was tried already.
     #[display("every target was tried")]
     AllTried,
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderName, HeaderValue};
+use http::HeaderName;
 use tokio::net::{TcpListener, UdpSocket};
 
 use super::members::InstanceStatus;
@@ -25,6 +25,8 @@
 const IDS: [&str; 6] = ["t0", "t1", "t2", "t3", "t4", "t5"];
 /// Address of the peer that reaches the targets, which is in the same zone.
 const PEER: ([u8; 4], u16) = ([127, 0, 0, 2], 7000);
+/// Age of the peer's reports: targets are checked before they get a request.
+const REPORT_AGE_MS: u16 = 40;
 /// Longest wait for a condition.
 const WAIT_LIMIT: Duration = Duration::from_secs(10);
 
@@ -96,13 +98,14 @@
         tokio::time::timeout(WAIT_LIMIT, waiting).await.is_ok()
     }
 
-    /// Sends requests as callers do, and returns the statuses of the responses.
-    async fn send_requests(&self, count: usize) -> Vec<u16> {
+    /// Sends requests with this deadline as callers do, and returns the statuses of the
+    /// responses.
+    async fn send_requests(&self, count: usize, deadline_ms: u16) -> Vec<u16> {
         let mut statuses = Vec::new();
         for number in 0..count {
             let mut req = request(&format!("/{number}"), "r");
             let name = HeaderName::from_static("x-deadline-ms");
-            req.headers.insert(name, HeaderValue::from_static("600"));
+            req.headers.insert(name, deadline_ms.into());
             statuses.push(forward::serve(self.shared.clone(), req).await.status);
         }
         statuses
@@ -137,7 +140,7 @@
         }),
         cold_ms: 0,
         health: Health::Good,
-        age_ms: 0,
+        age_ms: REPORT_AGE_MS,
     });
     let heartbeat = Heartbeat {
         zone: "a".into(),
@@ -172,7 +175,7 @@
 async fn callers_are_not_sent_to_an_instance_without_a_path_to_the_targets() {
     for cut in [Cut::Refused, Cut::Silent] {
         let instance = CutInstance::start(cut).await;
-        instance.send_requests(3).await;
+        instance.send_requests(3, 600).await;
         let only_peer = |instance: &CutInstance| instance.addresses() == [peer_callers()];
         let has_left = instance.wait_until(only_peer).await;
         assert!(has_left, "{cut:?}: {:?}", instance.addresses());
@@ -223,7 +226,7 @@
 #[tokio::test]
 async fn targets_that_peers_report_as_good_are_not_connected_to_for_each_request() {
     let instance = CutInstance::start(Cut::Refused).await;
-    let statuses = instance.send_requests(40).await;
+    let statuses = instance.send_requests(40, 600).await;
     assert!(statuses.iter().all(|status| *status == 503), "{statuses:?}");
     let connects = instance.shared.metrics.connects.get();
     let targets = IDS.len() as u64;
@@ -236,6 +239,7 @@
 #[tokio::test]
 async fn a_request_that_no_target_got_before_its_deadline_is_refused_as_not_run() {
     let instance = CutInstance::start(Cut::Silent).await;
-    let statuses = instance.send_requests(3).await;
+    // Three targets are checked one after the other, each until the check times out.
+    let statuses = instance.send_requests(3, 200).await;
     assert_eq!(statuses, [503; 3]);
 }
