Keep targets that only this instance can't connect to apart from those that are down

Cause: a failed connect left a target out for 400 ms, and the next report of its prober that it is good ended that, so that each request tried targets which only others reach. Change: a failed connect, or a check that nothing answers, is kept as this instance's own until a check over a new connection succeeds, 0.2 s later at first and 2 s at most; meanwhile idle connections are used, and the target is no last resort.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -230,6 +230,9 @@
     plan.may_run.store(true, Ordering::Relaxed);
     let response = conn.conn.exchange(&outgoing, matches_request).await?;
     let meta = wire::response_meta(response.status, &response.headers);
+    if let Some(view) = shared.state().targets.run_mut(choice.run) {
+        view.path.record_response(conn.opened);
+    }
     shared
         .pool
         .put(shared.now(), &choice.id, conn, meta.idle_for);
@@ -272,8 +275,10 @@
         Err(_) => {
             let now = shared.now();
             if let Some(view) = shared.state().targets.run_mut(choice.run) {
-                view.mark_down(now);
+                view.record_path_failure(now);
             }
+            // The others hang too.
+            shared.pool.remove(&choice.id);
             shared.metrics.declined.inc();
             return Err(AttemptError::Declined("no response to the check".into()));
         }
@@ -297,6 +302,7 @@
         let mut state = shared.state();
         if let Some(view) = state.targets.run_mut(choice.run) {
             view.record_response(now);
+            view.path.record_response(conn.opened);
             if let Some(load) = meta.load {
                 view.record_load_before(now, load, 1);
             }
@@ -332,11 +338,12 @@
         shared.metrics.connect_failures.inc();
         let now = shared.now();
         if let Some(view) = shared.state().targets.run_mut(choice.run) {
-            view.mark_down(now);
+            view.record_path_failure(now);
         }
     }
     Ok(TargetConn {
         conn: opened?,
+        opened: shared.now(),
         _token: token,
     })
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -36,6 +36,7 @@
 mod state;
 pub(crate) mod sync;
 pub(crate) mod target_limit;
+pub(crate) mod target_path;
 pub(crate) mod targets;
 #[cfg(test)]
 mod testing;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -10,7 +10,7 @@
 
 use super::members::InstanceStatus;
 use super::message::{self, Datagram, MAX_DATAGRAM, MAX_FRAME};
-use super::probe::Prober;
+use super::probe::{self, Prober};
 use super::replica::{Delta, Position};
 use super::shared::Shared;
 use crate::units::Time;
@@ -34,6 +34,7 @@
     loop {
         tick.tick().await;
         prober.start_round();
+        probe::check_failed_paths(&shared);
         tokio::time::sleep(PROBE_SETTLE_TIME).await;
         send_heartbeats(&shared, &socket, false);
         send_news(&shared, &socket);
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -25,6 +25,8 @@
 pub(crate) struct TargetConn {
     /// The HTTP connection.
     pub conn: Conn,
+    /// When it was opened.
+    pub opened: Time,
     /// Reference count of the target's connections; see
     /// [`super::targets::TargetState::connections`].
     pub _token: Arc<()>,
--- a/src/entry/probe.rs
+++ b/src/entry/probe.rs
@@ -7,8 +7,9 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::message::{Health, TargetReport};
+use super::pool::TargetConn;
 use super::shared::Shared;
-use super::state::State;
+use super::state::{PathCheck, State};
 use super::targets::TargetState;
 use crate::http1::client::{Conn, ExchangeError, OutgoingRequest, Response};
 use crate::names::TargetId;
@@ -18,6 +19,8 @@
 /// Maximum body of a health check's response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 10;
 
+/// Failed paths that are checked at a time.
+const MAX_PATH_CHECKS: usize = 8;
 /// Delay of a check after a call broke off.
 const BROKEN_CALL_CHECK_DELAY: Duration = Duration::from_millis(10);
 
@@ -106,6 +109,7 @@
     };
     shared.metrics.probes.inc();
     let conn = connections.take(id);
+    let (is_new, started) = (conn.is_none(), shared.now());
     let result =
         tokio::time::timeout(timeout, check_or_connect(conn, address, path, timeout)).await;
     let (response, conn) = match result {
@@ -116,6 +120,9 @@
     let now = shared.now();
     let mut state = shared.state();
     record_named_limit(&mut state, now, &report, response.as_ref());
+    if is_new && response.is_some() {
+        state.record_open_path(key, started);
+    }
     let before = state.targets.get(id).map(|view| view.health);
     state.record_probe(now, report);
     drop(state);
@@ -127,6 +134,47 @@
     }
 }
 
+/// Checks the targets that this instance could not connect to and that are due, a few at a
+/// time.
+pub(super) fn check_failed_paths(shared: &Arc<Shared>) {
+    let now = shared.now();
+    let due = shared.state().failed_paths_to_check(now, MAX_PATH_CHECKS);
+    for target in due {
+        let shared = shared.clone();
+        tokio::spawn(async move { check_path(&shared, &target).await });
+    }
+}
+
+/// Checks a target over a new connection, which is kept for requests; returns whether it
+/// responded.
+async fn check_path(shared: &Shared, target: &PathCheck) -> bool {
+    shared.metrics.probes.inc();
+    let opened = shared.now();
+    let checking = check_or_connect(None, target.address, &target.path, target.timeout);
+    let checked = tokio::time::timeout(target.timeout, checking).await;
+    let now = shared.now();
+    let mut state = shared.state();
+    let Ok(Ok((response, conn))) = checked else {
+        if let Some(view) = state.targets.run_mut(target.run) {
+            view.record_path_failure(now);
+        }
+        return false;
+    };
+    state.record_open_path(target.run, opened);
+    let report = target_report(target.run, &target.id, Some(&response));
+    state.targets.apply_report(now, &report);
+    drop(state);
+    let conn = TargetConn {
+        conn,
+        opened,
+        _token: target.token.clone(),
+    };
+    let meta = wire::response_meta(response.status, &response.headers);
+    shared.pool.put(now, &target.id, conn, meta.idle_for);
+    shared.capacity_freed.notify_waiters();
+    true
+}
+
 /// Checks a target on which a call of this instance broke off, so that a crash is found
 /// without a report of the target's prober.
 pub(super) async fn check_after_broken_call(shared: Arc<Shared>, id: TargetId) {
--- a/src/entry/selection.rs
+++ b/src/entry/selection.rs
@@ -63,6 +63,7 @@
     cold: usize,
     limited: usize,
     down: usize,
+    without_path: usize,
     evacuated: usize,
     leaving: usize,
 }
@@ -206,6 +207,7 @@
                 Some(
                     UnusableReason::Leaving
                     | UnusableReason::Evacuated
+                    | UnusableReason::NoPath
                     | UnusableReason::LimitedElsewhere,
                 ) => {}
                 Some(UnusableReason::Cold | UnusableReason::Limited) => classified.full = true,
@@ -233,6 +235,7 @@
                 Some(UnusableReason::Leaving) => counts.leaving += 1,
                 Some(UnusableReason::Evacuated) => counts.evacuated += 1,
                 Some(UnusableReason::Down) => counts.down += 1,
+                Some(UnusableReason::NoPath) => counts.without_path += 1,
                 Some(UnusableReason::Cold) => counts.cold += 1,
                 Some(UnusableReason::Limited | UnusableReason::LimitedElsewhere) => {
                     counts.limited += 1;
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -15,6 +15,7 @@
 use rand::Rng;
 
 use self::heartbeats::OwnReport;
+pub(crate) use self::probes::PathCheck;
 use super::directory::{self, DirectoryEntry};
 use super::fingerprint::RequestFingerprints;
 use super::members::{InstanceStatus, Members};
--- a/src/entry/state/probes.rs
+++ b/src/entry/state/probes.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::State;
 use super::heartbeats::OwnReport;
@@ -10,7 +11,61 @@
 use crate::names::{TargetId, ZoneName};
 use crate::units::Time;
 
+/// A target to check over a new connection.
+#[derive(Debug)]
+pub(crate) struct PathCheck {
+    /// Id of the target.
+    pub id: TargetId,
+    /// Key of its run.
+    pub run: u64,
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    /// Path of its health check.
+    pub path: Arc<str>,
+    /// Timeout of the check.
+    pub timeout: Duration,
+    /// Token of its connections.
+    pub token: Arc<()>,
+}
+
 impl State {
+    /// At most `limit` of the targets that this instance could not connect to and that are
+    /// due to be checked.
+    pub(crate) fn failed_paths_to_check(&mut self, now: Time, limit: usize) -> Vec<PathCheck> {
+        let mut due = Vec::new();
+        for view in self.targets.views_mut() {
+            if due.len() < limit && view.try_check_path(now) {
+                due.push(view.key);
+            }
+        }
+        due.into_iter()
+            .filter_map(|run| self.path_check(run))
+            .collect()
+    }
+
+    fn path_check(&mut self, run: u64) -> Option<PathCheck> {
+        let view = self.targets.run_mut(run)?;
+        let (target, token) = (view.target.clone(), view.connections.clone());
+        Some(PathCheck {
+            id: target.id,
+            run,
+            address: target.address,
+            path: self.health_path(&target.service)?,
+            timeout: self.tuning.probe_timeout,
+            token,
+        })
+    }
+
+    /// Records a response of a target's run over a connection opened at `opened`.
+    pub(crate) fn record_open_path(&mut self, run: u64, opened: Time) {
+        let Some(view) = self.targets.run_mut(run) else {
+            return;
+        };
+        if view.path.record_response(opened) {
+            tracing::info!(target_id = %view.target.id, "path to a target is open again");
+        }
+    }
+
     /// Targets that this instance probes, with their address and health check path.
     pub(crate) fn targets_to_probe(&self, now: Time) -> Vec<(TargetId, SocketAddr, Arc<str>)> {
         let Some(configuration) = self.replica.configuration() else {
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -208,6 +208,11 @@
             .collect()
     }
 
+    /// The views of all targets, for updates.
+    pub fn views_mut(&mut self) -> impl Iterator<Item = &mut TargetState> {
+        self.views.values_mut()
+    }
+
     /// The views of all targets.
     pub fn views(&self) -> impl Iterator<Item = &TargetState> {
         self.views.values()
--- a/src/entry/targets/view.rs
+++ b/src/entry/targets/view.rs
@@ -11,6 +11,7 @@
 use crate::entry::model::Target;
 use crate::entry::placement::Candidate;
 use crate::entry::target_limit::{LimitDecision, TargetLimit};
+use crate::entry::target_path::TargetPath;
 use crate::entry::window::{COLD_WINDOW, SlidingWindow};
 use crate::names::{TargetId, ZoneName};
 use crate::units::Time;
@@ -58,6 +59,8 @@
     cold_requests: SlidingWindow,
     /// Limit that it names, and what this instance has sent to it.
     pub limit: TargetLimit,
+    /// Whether this instance can open connections to it.
+    pub path: TargetPath,
     /// Checks by this instance right before requests.
     pub checks: SlidingWindow,
     /// This instance's rank for it, with the generation of the members that it holds for.
@@ -73,6 +76,8 @@
     Evacuated,
     /// It cannot be reached.
     Down,
+    /// This instance can open no connection to it, and none is idle.
+    NoPath,
     /// It is cold, and this instance's share of its warm-up rate is used up.
     Cold,
     /// It names a limit, which is used up for now.
@@ -100,6 +105,7 @@
             failure_rate_at: now,
             cold_requests: SlidingWindow::default(),
             limit: TargetLimit::default(),
+            path: TargetPath::default(),
             checks: SlidingWindow::default(),
             cold_rank: None,
         }
@@ -183,6 +189,18 @@
         self.down_until = now.after(DOWN_DURATION);
     }
 
+    /// Whether to check this instance's path to it now; records it if so.
+    pub fn try_check_path(&mut self, now: Time) -> bool {
+        let reported = self.probed_at.map(|at| (self.health, at));
+        self.path.try_check(now, reported) && !self.is_leaving() && self.limit.try_check(now)
+    }
+
+    /// Stops sending requests to it as no connection could be opened or it answered nothing.
+    pub fn record_path_failure(&mut self, now: Time) {
+        self.mark_down(now);
+        self.path.record_failure(now);
+    }
+
     /// Records the result of a probe.
     pub fn record_health(&mut self, at: Time, health: Health) {
         self.probed_at = Some(at);
@@ -232,6 +250,9 @@
             LimitDecision::UsedUp => return Some(UnusableReason::Limited),
             LimitDecision::Elsewhere => return Some(UnusableReason::LimitedElsewhere),
         }
+        if self.path.has_failed() && self.open_connections() <= self.in_flight as usize {
+            return Some(UnusableReason::NoPath);
+        }
         if self.is_down(now) {
             return Some(UnusableReason::Down);
         }
