Send no callers to an instance that reaches no target

Cause: callers of instances that were cut off from all targets got 503 or 504 for as long as the cut lasted, since the directory named every ready instance, and no instance compared its own connects with what peers report. One that finds no target that peers vouch for does not count as cut off: then the targets are gone for all.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -230,12 +230,11 @@
     plan.may_run.store(true, Ordering::Relaxed);
     let response = conn.conn.exchange(&outgoing, matches_request).await?;
     let meta = wire::response_meta(response.status, &response.headers);
-    if let Some(view) = shared.state().targets.run_mut(choice.run) {
-        view.path.record_response(conn.opened);
-    }
+    let now = shared.now();
     shared
-        .pool
-        .put(shared.now(), &choice.id, conn, meta.idle_for);
+        .state()
+        .record_open_path(now, choice.run, conn.opened);
+    shared.pool.put(now, &choice.id, conn, meta.idle_for);
     Ok(response)
 }
 
@@ -274,9 +273,7 @@
         }
         Err(_) => {
             let now = shared.now();
-            if let Some(view) = shared.state().targets.run_mut(choice.run) {
-                view.record_path_failure(now);
-            }
+            shared.state().record_path_failure(now, choice.run);
             // The others hang too.
             shared.pool.remove(&choice.id);
             shared.metrics.declined.inc();
@@ -302,7 +299,6 @@
         let mut state = shared.state();
         if let Some(view) = state.targets.run_mut(choice.run) {
             view.record_response(now);
-            view.path.record_response(conn.opened);
             if let Some(load) = meta.load {
                 view.record_load_before(now, load, 1);
             }
@@ -310,6 +306,7 @@
                 view.set_cold_for(now, left);
             }
         }
+        state.record_open_path(now, choice.run, conn.opened);
         state.record_limit(now, now, choice.run, meta.limit);
         state.confirm_choice(now, choice, &plan.requirements, &plan.tried)
     };
@@ -337,9 +334,7 @@
     if opened.is_err() {
         shared.metrics.connect_failures.inc();
         let now = shared.now();
-        if let Some(view) = shared.state().targets.run_mut(choice.run) {
-            view.record_path_failure(now);
-        }
+        shared.state().record_path_failure(now, choice.run);
     }
     Ok(TargetConn {
         conn: opened?,
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -17,16 +17,24 @@
     pub callers: SocketAddr,
     /// Its availability zone.
     pub zone: ZoneName,
+    /// Whether it reaches the targets.
+    pub reaches_targets: bool,
 }
 
 /// The addresses for a caller in `zone`: only those in its zone if there are enough,
-/// since traffic between zones is expensive, otherwise all.
+/// since traffic between zones is expensive, otherwise all. Instances that don't reach the
+/// targets are left out unless none does.
 ///
 /// The instances of a zone may fail together while its callers keep running.
 #[must_use]
 pub fn addresses(entries: &[DirectoryEntry], zone: Option<&str>) -> Vec<SocketAddr> {
-    let same_zone: Vec<SocketAddr> = entries
-        .iter()
+    let some_reach = entries.iter().any(|entry| entry.reaches_targets);
+    let usable = || {
+        entries
+            .iter()
+            .filter(move |entry| entry.reaches_targets || !some_reach)
+    };
+    let same_zone: Vec<SocketAddr> = usable()
         .filter(|entry| zone.is_none_or(|zone| entry.zone.as_str() == zone))
         .map(|entry| entry.callers)
         .take(MAX_ADDRESSES)
@@ -34,8 +42,7 @@
     if same_zone.len() >= MIN_SAME_ZONE {
         return same_zone;
     }
-    entries
-        .iter()
+    usable()
         .map(|entry| entry.callers)
         .take(MAX_ADDRESSES)
         .collect()
--- a/src/entry/endpoints.rs
+++ b/src/entry/endpoints.rs
@@ -87,6 +87,7 @@
                 "cold": candidate.cold,
                 "limit_per_second": view.limit.per_second(now),
                 "healthy": candidate.healthy,
+                "has_path": !view.path.has_failed(),
                 "in_flight": view.in_flight,
                 "occupied": candidate.occupied,
                 "slowness_percent": candidate.slowness_percent,
@@ -103,12 +104,14 @@
                 "zone": member.zone,
                 "live": state.members.is_live(now, address),
                 "standing": member.status,
+                "cut_off": member.status.cut_off,
             })
         })
         .collect();
     serde_json::json!({
         "instance": state.settings.name,
         "standing": state.status,
+        "cut_off": state.status.cut_off,
         "revision": state.replica.revision(),
         "evacuated": state.targets.evacuated(),
         "unknown_kinds": unknown_kinds(state),
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -18,7 +18,7 @@
 use super::fingerprint::RequestFingerprints;
 use super::hedge::{self, Progress};
 use super::model::{RetrySafety, Route};
-use super::outcome::{DEFAULT_RETRY_AFTER, Outcome, Refusal, reply};
+use super::outcome::{DEFAULT_RETRY_AFTER, Outcome, RETRY_AFTER_ELSEWHERE, Refusal, reply};
 use super::placement::{self, Requirements};
 use super::retry::{self, AttemptHistory, AttemptOutcome, NextStep};
 use super::selection::{ChosenTarget, NoTarget};
@@ -350,6 +350,9 @@
             match place.try_acquire() {
                 Ok(choice) => return Ok(choice),
                 Err(NoTarget::NoCapacity) => place.enqueue_or_refuse()?,
+                Err(reason) if self.shared.state().status.cut_off => {
+                    return Err(Refusal::new(reason, RETRY_AFTER_ELSEWHERE));
+                }
                 Err(reason) => {
                     return Err(Refusal::without_target(self.history, reason));
                 }
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -59,6 +59,13 @@
     pub status: InstanceStatus,
 }
 
+impl Member {
+    /// Whether it may probe targets: it is not shutting down, and reaches them.
+    fn may_probe(&self) -> bool {
+        !self.status.leaving && !self.status.cut_off
+    }
+}
+
 /// Status that an instance sends in each heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
 pub struct InstanceStatus {
@@ -70,6 +77,9 @@
     pub leaving: bool,
     /// State of its access to the store.
     pub store: StoreAccess,
+    /// Whether it reaches no target that others reach. It is encoded apart, like `era`.
+    #[serde(skip)]
+    pub cut_off: bool,
     /// Era of `revision`. It is encoded apart, since earlier releases don't know it.
     #[serde(skip)]
     pub era: u64,
@@ -142,10 +152,10 @@
         self.generation += 1;
     }
 
-    /// The zones with a live instance that is not shutting down.
+    /// The zones with a live instance that may probe targets.
     #[must_use]
-    pub fn live_zones(&self, now: Time) -> IndexSet<ZoneName> {
-        let live = self.live(now).filter(|(_, member)| !member.status.leaving);
+    pub fn probing_zones(&self, now: Time) -> IndexSet<ZoneName> {
+        let live = self.live(now).filter(|(_, member)| member.may_probe());
         live.map(|(_, member)| member.zone.clone()).collect()
     }
 
@@ -386,14 +396,14 @@
     }
 
     /// Whether this instance, in `own_zone`, is the prober of a target, according to
-    /// its own view. Rendezvous hashing picks it among the live instances; those in the
-    /// target's zone come first.
+    /// its own view. Rendezvous hashing picks it among the live instances that reach the
+    /// targets; those in the target's zone come first.
     #[must_use]
     pub fn is_prober(&self, now: Time, own_zone: &ZoneName, target: &Target) -> bool {
         let order = |address, zone: &ZoneName| (*zone == target.zone, weight(address, &target.id));
         let own = order(self.own, own_zone);
         self.live(now)
-            .filter(|(_, member)| !member.status.leaving)
+            .filter(|(_, member)| member.may_probe())
             .all(|(address, member)| order(address, &member.zone) < own)
     }
 
--- a/src/entry/message.rs
+++ b/src/entry/message.rs
@@ -154,6 +154,15 @@
     limits: Vec<NamedLimit>,
 }
 
+/// What follows a [`HeartbeatExtension`], where earlier releases ignore it.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct ReachExtension {
+    /// Whether the sender reaches no target that others reach.
+    cut_off: bool,
+    /// The same of the relayed statuses, in their order.
+    relayed_cut_off: Vec<bool>,
+}
+
 /// Encodes a heartbeat. Statuses of other zones' instances, for peers in the same zone,
 /// and fields that earlier releases don't know follow it.
 ///
@@ -169,9 +178,17 @@
         evidence: heartbeat.evidence.clone(),
         limits: heartbeat.limits.clone(),
     };
+    let reach = ReachExtension {
+        cut_off: heartbeat.status.cut_off,
+        relayed_cut_off: relayed
+            .iter()
+            .map(|relayed| relayed.status.cut_off)
+            .collect(),
+    };
     let mut bytes = encode(&Datagram::Heartbeat(heartbeat))?;
     bytes.extend(postcard::to_stdvec(relayed)?);
     bytes.extend(postcard::to_stdvec(&extension)?);
+    bytes.extend(postcard::to_stdvec(&reach)?);
     Ok(bytes)
 }
 
@@ -186,16 +203,26 @@
     } else {
         postcard::take_from_bytes(rest)?
     };
-    if !rest.is_empty() {
-        let extension: HeartbeatExtension = postcard::from_bytes(rest)?;
-        if let Datagram::Heartbeat(heartbeat) = &mut datagram {
-            heartbeat.status.era = extension.era;
-            heartbeat.evidence = extension.evidence;
-            heartbeat.limits = extension.limits;
-        }
-        for (relayed, era) in relayed.iter_mut().zip(extension.relayed_eras) {
-            relayed.status.era = era;
-        }
+    if rest.is_empty() {
+        return Ok((datagram, relayed));
+    }
+    let (extension, rest): (HeartbeatExtension, &[u8]) = postcard::take_from_bytes(rest)?;
+    let reach: ReachExtension = if rest.is_empty() {
+        ReachExtension::default()
+    } else {
+        postcard::from_bytes(rest)?
+    };
+    if let Datagram::Heartbeat(heartbeat) = &mut datagram {
+        heartbeat.status.era = extension.era;
+        heartbeat.status.cut_off = reach.cut_off;
+        heartbeat.evidence = extension.evidence;
+        heartbeat.limits = extension.limits;
+    }
+    for (relayed, era) in relayed.iter_mut().zip(extension.relayed_eras) {
+        relayed.status.era = era;
+    }
+    for (relayed, cut_off) in relayed.iter_mut().zip(reach.relayed_cut_off) {
+        relayed.status.cut_off = cut_off;
     }
     Ok((datagram, relayed))
 }
--- a/src/entry/message/tests.rs
+++ b/src/entry/message/tests.rs
@@ -62,6 +62,7 @@
             callers: Some(([255, 255, 255, 255], 65535).into()),
             ready: true,
             leaving: true,
+            cut_off: true,
             store: crate::entry::watchers::StoreAccess::Lost,
             era: u64::MAX,
             revision: u64::MAX,
@@ -195,3 +196,36 @@
     let request: PeerRequest = postcard::from_bytes(&bytes.unwrap()).unwrap();
     assert_eq!(request, PeerRequest::Changes(9));
 }
+
+#[test]
+fn statuses_say_who_is_cut_off_also_beside_releases_that_do_not() {
+    let cut_off = |cut_off| InstanceStatus {
+        cut_off,
+        ..heartbeat(4).status
+    };
+    let sent = Heartbeat {
+        status: cut_off(true),
+        ..heartbeat(4)
+    };
+    let statuses = [true, false].map(|is_cut_off| RelayedStatus {
+        status: cut_off(is_cut_off),
+        ..relayed(2)
+    });
+    let bytes = encode_heartbeat(sent.clone(), &statuses).unwrap();
+    let decoded = decode_datagram(&bytes).unwrap();
+    assert_eq!(decoded, (Datagram::Heartbeat(sent), Vec::from(statuses)));
+    // A release with eras sends and decodes a heartbeat up to its extension.
+    let reach = postcard::to_stdvec(&ReachExtension {
+        cut_off: true,
+        relayed_cut_off: vec![true, false],
+    });
+    let earlier = &bytes[..bytes.len() - reach.unwrap().len()];
+    let (Datagram::Heartbeat(decoded), _) = decode_datagram(earlier).unwrap() else {
+        panic!("not a heartbeat");
+    };
+    assert_eq!(decoded.status, cut_off(false));
+    let (_, rest) = postcard::take_from_bytes::<Datagram>(&bytes).unwrap();
+    let (_, rest) = postcard::take_from_bytes::<Vec<RelayedStatus>>(rest).unwrap();
+    let extension: HeartbeatExtension = postcard::from_bytes(rest).unwrap();
+    assert_eq!(extension.era, 4);
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -24,6 +24,7 @@
 mod pool;
 pub(crate) mod precheck;
 mod probe;
+pub(crate) mod reach;
 mod reload;
 pub(crate) mod replica;
 pub(crate) mod retry;
--- a/src/entry/outcome.rs
+++ b/src/entry/outcome.rs
@@ -16,6 +16,8 @@
 /// Retry-After when targets shed a request and the retry budget was exhausted. Other
 /// targets may accept it at once, and the caller's own retry is a new request.
 const RETRY_AFTER_SHED: Duration = Duration::from_millis(50);
+/// Retry-After of an instance that reaches no target. The directory names others.
+pub(crate) const RETRY_AFTER_ELSEWHERE: Duration = Duration::from_millis(50);
 /// Minimum and maximum Retry-After sent to a caller.
 const RETRY_AFTER_RANGE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
 
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -36,6 +36,7 @@
         prober.start_round();
         probe::check_failed_paths(&shared);
         tokio::time::sleep(PROBE_SETTLE_TIME).await;
+        check_reach(&shared, &socket);
         send_heartbeats(&shared, &socket, false);
         send_news(&shared, &socket);
         request_digests(&shared, &socket);
@@ -68,6 +69,21 @@
     }
 }
 
+/// Checks whether this instance reaches the targets if that is in question, and tells all
+/// peers when it changes.
+fn check_reach(shared: &Arc<Shared>, socket: &Arc<UdpSocket>) {
+    let now = shared.now();
+    let targets = shared.state().begin_reach_check(now, rand::rng().random());
+    if let Some(targets) = targets {
+        let (shared, socket) = (shared.clone(), socket.clone());
+        tokio::spawn(async move {
+            if probe::check_reach(&shared, &targets).await.is_some() {
+                send_heartbeats(&shared, &socket, true);
+            }
+        });
+    }
+}
+
 /// Sends what is new of requests suspected of crashing targets.
 fn send_news(shared: &Shared, socket: &UdpSocket) {
     let now = shared.now();
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -102,6 +102,11 @@
         self.lock().swap_remove(target);
     }
 
+    /// Closes all idle connections.
+    pub(crate) fn clear(&self) {
+        self.lock().clear();
+    }
+
     fn lock(&self) -> MutexGuard<'_, IndexMap<TargetId, VecDeque<Idle>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/entry/probe.rs
+++ b/src/entry/probe.rs
@@ -8,6 +8,7 @@
 
 use super::message::{Health, TargetReport};
 use super::pool::TargetConn;
+use super::reach::ReachChange;
 use super::shared::Shared;
 use super::state::{PathCheck, State};
 use super::targets::TargetState;
@@ -112,6 +113,8 @@
     let (is_new, started) = (conn.is_none(), shared.now());
     let result =
         tokio::time::timeout(timeout, check_or_connect(conn, address, path, timeout)).await;
+    // A kept connection may have been closed by the target.
+    let has_failed = result.is_err() || is_new && !matches!(result, Ok(Ok(_)));
     let (response, conn) = match result {
         Ok(Ok((response, conn))) => (Some(response), Some(conn)),
         Ok(Err(_)) | Err(_) => (None, None),
@@ -120,8 +123,11 @@
     let now = shared.now();
     let mut state = shared.state();
     record_named_limit(&mut state, now, &report, response.as_ref());
-    if is_new && response.is_some() {
-        state.record_open_path(key, started);
+    if has_failed {
+        state.record_path_failure(now, key);
+    } else if response.is_some() {
+        let opened = if is_new { started } else { Time::ZERO };
+        state.record_open_path(now, key, opened);
     }
     let before = state.targets.get(id).map(|view| view.health);
     state.record_probe(now, report);
@@ -141,26 +147,68 @@
     let due = shared.state().failed_paths_to_check(now, MAX_PATH_CHECKS);
     for target in due {
         let shared = shared.clone();
-        tokio::spawn(async move { check_path(&shared, &target).await });
+        tokio::spawn(async move {
+            check_path(&shared, &target).await;
+        });
     }
 }
 
-/// Checks a target over a new connection, which is kept for requests; returns whether it
-/// responded.
-async fn check_path(shared: &Shared, target: &PathCheck) -> bool {
+/// Checks whether any of these targets, which peers reach, responds to this instance;
+/// returns how that changes what the peers must know.
+pub(super) async fn check_reach(shared: &Shared, targets: &[PathCheck]) -> Option<ReachChange> {
+    let checks = targets.iter().map(|target| check_path(shared, target));
+    let results = futures_util::future::join_all(checks).await;
+    let count = |kind| results.iter().filter(|result| **result == kind).count();
+    let responded = count(PathState::Open);
+    let now = shared.now();
+    let change = shared
+        .state()
+        .finish_reach_check(now, responded, results.len() - responded);
+    if change == Some(ReachChange::Lost) && count(PathState::Silent) > 0 {
+        // Open connections hang too.
+        shared.pool.clear();
+    }
+    shared.capacity_freed.notify_waiters();
+    change
+}
+
+/// Result of a check of the path to a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PathState {
+    /// The target responded.
+    Open,
+    /// The connection was refused or broke off.
+    Refused,
+    /// There was no response in time.
+    Silent,
+}
+
+/// Checks a target over a new connection, which is kept for requests.
+async fn check_path(shared: &Shared, target: &PathCheck) -> PathState {
     shared.metrics.probes.inc();
     let opened = shared.now();
     let checking = check_or_connect(None, target.address, &target.path, target.timeout);
     let checked = tokio::time::timeout(target.timeout, checking).await;
     let now = shared.now();
     let mut state = shared.state();
-    let Ok(Ok((response, conn))) = checked else {
-        if let Some(view) = state.targets.run_mut(target.run) {
-            view.record_path_failure(now);
+    let (response, conn) = match checked {
+        Ok(Ok(checked)) => checked,
+        Ok(Err(err)) => {
+            state.record_path_failure(now, target.run);
+            let is_timeout =
+                matches!(err, ExchangeError::NotSent(_)) && now.since(opened) >= target.timeout;
+            return if is_timeout {
+                PathState::Silent
+            } else {
+                PathState::Refused
+            };
+        }
+        Err(_) => {
+            state.record_path_failure(now, target.run);
+            return PathState::Silent;
         }
-        return false;
     };
-    state.record_open_path(target.run, opened);
+    state.record_open_path(now, target.run, opened);
     let report = target_report(target.run, &target.id, Some(&response));
     state.targets.apply_report(now, &report);
     drop(state);
@@ -172,7 +220,7 @@
     let meta = wire::response_meta(response.status, &response.headers);
     shared.pool.put(now, &target.id, conn, meta.idle_for);
     shared.capacity_freed.notify_waiters();
-    true
+    PathState::Open
 }
 
 /// Checks a target on which a call of this instance broke off, so that a crash is found
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -21,6 +21,7 @@
 use super::members::{InstanceStatus, Members};
 use super::message::TargetReport;
 use super::model::{CallerLimits, Route};
+use super::reach::Reach;
 use super::replica::Replica;
 use super::routes::{RouteTable, WeightedSplitter};
 use super::service_time::ServiceTimes;
@@ -64,6 +65,8 @@
     pub members: Members,
     /// Requests suspected of crashing targets.
     pub quarantine: Quarantine,
+    /// Whether this instance reaches the targets at all.
+    pub reach: Reach,
     /// Typical service time of each route.
     pub service_times: ServiceTimes,
     /// Status that this instance sends to its peers.
@@ -124,6 +127,7 @@
             targets: TargetTable::default(),
             members,
             quarantine,
+            reach: Reach::default(),
             service_times: ServiceTimes::default(),
             reports: IndexMap::new(),
             sent_same_zone: IndexMap::new(),
@@ -291,12 +295,14 @@
         let own = self.status.ready.then(|| DirectoryEntry {
             callers: self.settings.callers,
             zone: self.settings.zone.clone(),
+            reaches_targets: !self.status.cut_off,
         });
         let peers = self.members.live(now).filter_map(|(_, member)| {
             let ready = member.status.ready && !member.status.leaving;
             Some(DirectoryEntry {
                 callers: member.status.callers.filter(|_| ready)?,
                 zone: member.zone.clone(),
+                reaches_targets: !member.status.cut_off,
             })
         });
         let entries: Vec<DirectoryEntry> = own.into_iter().chain(peers).collect();
--- a/src/entry/state/probes.rs
+++ b/src/entry/state/probes.rs
@@ -8,6 +8,10 @@
 use super::heartbeats::OwnReport;
 use crate::dispatch::quarantine::CrashId;
 use crate::entry::message::{Health, TargetReport};
+use crate::entry::placement::index_for_draw;
+use crate::entry::reach::{CHECKED_TARGETS, ReachChange};
+use crate::entry::target_path::TargetPath;
+use crate::entry::targets::TargetState;
 use crate::names::{TargetId, ZoneName};
 use crate::units::Time;
 
@@ -56,8 +60,76 @@
         })
     }
 
+    /// Some of the targets that peers report as reachable, if it is to be checked whether
+    /// this instance reaches any. `draw` in `0.0..1.0` picks them.
+    pub(crate) fn begin_reach_check(&mut self, now: Time, draw: f64) -> Option<Vec<PathCheck>> {
+        if !self.reach.try_begin_check(now) {
+            return None;
+        }
+        let is_cut_off = self.reach.is_cut_off();
+        let is_vouched_for = |view: &&TargetState| {
+            !view.is_leaving()
+                && !self.reports.contains_key(&view.key)
+                && view.is_reported_reachable(now)
+                && (is_cut_off || !self.reach.is_failing(view.key))
+        };
+        let vouched: Vec<u64> = self
+            .targets
+            .views()
+            .filter(is_vouched_for)
+            .map(|view| view.key)
+            .collect();
+        let first = index_for_draw(vouched.len(), draw);
+        // Neighbours in the table are often in one zone.
+        let step = (vouched.len() / CHECKED_TARGETS).max(1);
+        let count = CHECKED_TARGETS.min(vouched.len());
+        let picked = vouched.iter().cycle().skip(first).step_by(step).take(count);
+        let picked: Vec<u64> = picked.copied().collect();
+        Some(
+            picked
+                .into_iter()
+                .filter_map(|run| self.path_check(run))
+                .collect(),
+        )
+    }
+
+    /// Records the results of a check of this instance's reach; returns whether it is now
+    /// cut off, or no longer, and the peers must learn that.
+    pub(crate) fn finish_reach_check(
+        &mut self,
+        now: Time,
+        responded: usize,
+        failed: usize,
+    ) -> Option<ReachChange> {
+        let change = self.reach.finish_check(now, responded, failed)?;
+        self.status.cut_off = self.reach.is_cut_off();
+        for view in self.targets.views_mut() {
+            match change {
+                ReachChange::Lost => view.path.record_failure(now),
+                ReachChange::Regained => view.path = TargetPath::default(),
+            }
+        }
+        match change {
+            ReachChange::Lost => tracing::warn!(
+                failed,
+                "no path to targets that peers reach; left the directory"
+            ),
+            ReachChange::Regained => tracing::info!(responded, failed, "targets are reached again"),
+        }
+        Some(change)
+    }
+
+    /// Records that this instance could not connect to a target's run, or got no response.
+    pub(crate) fn record_path_failure(&mut self, now: Time, run: u64) {
+        self.reach.record_failure(now, run);
+        if let Some(view) = self.targets.run_mut(run) {
+            view.record_path_failure(now);
+        }
+    }
+
     /// Records a response of a target's run over a connection opened at `opened`.
-    pub(crate) fn record_open_path(&mut self, run: u64, opened: Time) {
+    pub(crate) fn record_open_path(&mut self, now: Time, run: u64, opened: Time) {
+        self.reach.record_response(now, opened);
         let Some(view) = self.targets.run_mut(run) else {
             return;
         };
@@ -72,9 +144,12 @@
             return Vec::new();
         };
         let own_zone = &self.settings.zone;
-        let live_zones = self.members.live_zones(now);
+        let probing_zones = self.members.probing_zones(now);
+        if self.status.cut_off && !probing_zones.is_empty() {
+            return Vec::new();
+        }
         // Instances in a target's zone come first, so most targets need no comparison.
-        let may_probe = |zone: &ZoneName| zone == own_zone || !live_zones.contains(zone);
+        let may_probe = |zone: &ZoneName| zone == own_zone || !probing_zones.contains(zone);
         self.targets
             .views()
             .filter(|view| {
--- a/src/entry/targets/view.rs
+++ b/src/entry/targets/view.rs
@@ -189,6 +189,13 @@
         self.down_until = now.after(DOWN_DURATION);
     }
 
+    /// Whether it responded to its prober lately.
+    #[must_use]
+    pub fn is_reported_reachable(&self, now: Time) -> bool {
+        let is_recent = |at| now.since(at) <= MAX_REPORT_AGE;
+        self.health != Health::Unreachable && self.probed_at.is_some_and(is_recent)
+    }
+
     /// Whether to check this instance's path to it now; records it if so.
     pub fn try_check_path(&mut self, now: Time) -> bool {
         let reported = self.probed_at.map(|at| (self.health, at));
