Hold failed probes back until another target responds

Change: a target without a response counts as unreachable, for this instance, its peers and the quarantine, only once another target has responded since the probe began, or no peer reaches any; what failed while the instance is cut off is dropped. Result: the two tests that failed pass.

--- a/src/entry/digest/tests.rs
+++ b/src/entry/digest/tests.rs
@@ -123,7 +123,7 @@
     let mut state = state([10, 2, 0, 1], "b");
     for (heartbeat, slowness_percent) in [700, 100, 700, 100].into_iter().enumerate() {
         let now = NOW.after(Duration::from_millis(100 * heartbeat as u64));
-        state.record_probe(now, report(&state, slowness_percent));
+        state.record_probe(now, report(&state, slowness_percent), now);
         let peers = state.next_heartbeat(now, false).same_zone.len();
         assert!(
             peers >= 59,
@@ -154,7 +154,7 @@
                 health: Health::Good,
                 age_ms: 0,
             };
-            state.record_probe(now, report);
+            state.record_probe(now, report, now);
         }
         let due = state.next_heartbeat(now, false);
         assert_eq!(due.same_zone, [peer]);
@@ -173,7 +173,7 @@
 fn an_instance_of_an_evacuated_zone_learns_slowness_from_a_digest() {
     let mut peer = state([10, 2, 0, 1], "b");
     let slow = report(&peer, 700);
-    peer.record_probe(NOW, slow);
+    peer.record_probe(NOW, slow, NOW);
     let later = NOW.after(Duration::from_millis(50));
 
     let mut own = state([10, 1, 0, 1], "a");
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -37,6 +37,7 @@
         probe::check_failed_paths(&shared);
         tokio::time::sleep(PROBE_SETTLE_TIME).await;
         check_reach(&shared, &socket);
+        shared.state().record_confirmed_probes(shared.now());
         send_heartbeats(&shared, &socket, false);
         send_news(&shared, &socket);
         request_digests(&shared, &socket);
--- a/src/entry/probe.rs
+++ b/src/entry/probe.rs
@@ -130,7 +130,7 @@
         state.record_open_path(now, key, opened);
     }
     let before = state.targets.get(id).map(|view| view.health);
-    state.record_probe(now, report);
+    state.record_probe(now, report, started);
     drop(state);
     if before != Some(report.health) {
         tracing::info!(target_id = %id, %address, health = ?report.health, "health changed");
@@ -242,6 +242,7 @@
         return;
     }
     shared.metrics.probes.inc();
+    let started = shared.now();
     let checking = check_or_connect(None, address, &path, timeout);
     let response = match tokio::time::timeout(timeout, checking).await {
         Ok(Ok((response, _))) => Some(response),
@@ -251,7 +252,12 @@
     let now = shared.now();
     let mut state = shared.state();
     record_named_limit(&mut state, now, &report, response.as_ref());
-    state.record_probe(now, report);
+    if response.is_some() {
+        state.record_open_path(now, key, started);
+    } else {
+        state.record_path_failure(now, key);
+    }
+    state.record_probe(now, report, started);
 }
 
 async fn check_or_connect(
--- a/src/entry/reach.rs
+++ b/src/entry/reach.rs
@@ -33,8 +33,9 @@
     failing: IndexSet<u64>,
     /// When a connection last could not be opened.
     failed_at: Option<Time>,
-    /// When any target last responded.
-    responded_at: Option<Time>,
+    /// When a target last responded, or no peer reported any as reachable: failures before
+    /// say something of their targets.
+    confirmed_at: Option<Time>,
     cut_off_since: Option<Time>,
     is_checking: bool,
     next_check: Time,
@@ -65,17 +66,17 @@
 
     /// Records a response over a connection that was opened at `opened`.
     pub fn record_response(&mut self, now: Time, opened: Time) {
-        self.responded_at = Some(now);
+        self.confirmed_at = Some(now);
         if self.failed_at.is_some_and(|at| opened >= at) {
             self.failing.clear();
         }
     }
 
     /// Whether a failure that began at `started` says something of its target: another
-    /// one has responded since.
+    /// one has responded since, or peers reach none either.
     #[must_use]
     pub fn is_confirmed_since(&self, started: Time) -> bool {
-        !self.is_cut_off() && self.responded_at.is_some_and(|at| at >= started)
+        !self.is_cut_off() && self.confirmed_at.is_some_and(|at| at >= started)
     }
 
     /// Whether to check some targets now, and records that they are checked.
@@ -113,7 +114,11 @@
                 self.failed_at = None;
                 None
             }
-            None if checked > 0 && failed >= MIN_FAILED_CHECKS.min(checked) => {
+            None if checked == 0 => {
+                self.confirmed_at = Some(now);
+                None
+            }
+            None if failed >= MIN_FAILED_CHECKS.min(checked) => {
                 self.cut_off_since = Some(now);
                 Some(ReachChange::Lost)
             }
--- a/src/entry/reach/tests.rs
+++ b/src/entry/reach/tests.rs
@@ -41,8 +41,10 @@
 fn an_instance_is_not_cut_off_if_no_peer_reaches_a_target_either() {
     let mut reach = failing();
     assert!(reach.try_begin_check(at(1010)));
+    assert!(!reach.is_confirmed_since(at(1000)));
     assert_eq!(reach.finish_check(at(1010), 0, 0), None);
     assert!(!reach.is_cut_off());
+    assert!(reach.is_confirmed_since(at(1000)), "its failures are real");
 }
 
 #[test]
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -73,6 +73,8 @@
     pub status: InstanceStatus,
     /// Results of this instance's own probes by target key.
     reports: IndexMap<u64, OwnReport>,
+    /// Failed own probes that may be due to a partition, by target key, and their starts.
+    unconfirmed: IndexMap<u64, (TargetReport, Time)>,
     /// Reports last sent to peers in the same zone.
     sent_same_zone: IndexMap<u64, TargetReport>,
     /// Reports last sent to peers in other zones.
@@ -130,6 +132,7 @@
             reach: Reach::default(),
             service_times: ServiceTimes::default(),
             reports: IndexMap::new(),
+            unconfirmed: IndexMap::new(),
             sent_same_zone: IndexMap::new(),
             sent_other_zones: IndexMap::new(),
             last_digest_request: Time::ZERO,
--- a/src/entry/state/probes.rs
+++ b/src/entry/state/probes.rs
@@ -79,6 +79,12 @@
             .filter(is_vouched_for)
             .map(|view| view.key)
             .collect();
+        let vouched = if vouched.is_empty() && is_cut_off {
+            let usable = self.targets.views().filter(|view| !view.is_leaving());
+            usable.map(|view| view.key).collect()
+        } else {
+            vouched
+        };
         let first = index_for_draw(vouched.len(), draw);
         // Neighbours in the table are often in one zone.
         let step = (vouched.len() / CHECKED_TARGETS).max(1);
@@ -170,8 +176,34 @@
             .collect()
     }
 
-    /// Records the result of an own probe, for this instance and its peers.
-    pub(crate) fn record_probe(&mut self, now: Time, report: TargetReport) {
+    /// Records the result of an own probe that was started at `started`, for this instance
+    /// and its peers. A target without a response is unreachable only if another one has
+    /// responded meanwhile; the result is held until then.
+    pub(crate) fn record_probe(&mut self, now: Time, report: TargetReport, started: Time) {
+        if report.health == Health::Unreachable && !self.reach.is_confirmed_since(started) {
+            self.unconfirmed.insert(report.target, (report, started));
+            return;
+        }
+        self.unconfirmed.swap_remove(&report.target);
+        self.record_confirmed_probe(now, report);
+    }
+
+    /// Records the failed probes that other targets' responses have confirmed since, and
+    /// drops those of a time in which this instance was cut off.
+    pub(crate) fn record_confirmed_probes(&mut self, now: Time) {
+        if self.reach.is_cut_off() {
+            self.unconfirmed.clear();
+        }
+        let reach = &self.reach;
+        let is_confirmed =
+            |_: &u64, (_, started): &mut (TargetReport, Time)| reach.is_confirmed_since(*started);
+        let confirmed: Vec<_> = self.unconfirmed.extract_if(.., is_confirmed).collect();
+        for (_, (report, _)) in confirmed {
+            self.record_confirmed_probe(now, report);
+        }
+    }
+
+    fn record_confirmed_probe(&mut self, now: Time, report: TargetReport) {
         self.targets.apply_report(now, &report);
         self.record_crash_if_unreachable(now, &report);
         let known = self.reports.get(&report.target);
