Return to the directory only when all checked targets respond

Cause: in a trial with the paths to 27 of 30 targets cut at five instances, an instance returned to the directory when two of three checked targets happened to be those that it reached, three times in twelve seconds, and refused requests each time. Change: all checked targets must respond, and after a relapse within ten seconds the minimum time doubles, up to eight seconds.

--- a/src/entry/reach.rs
+++ b/src/entry/reach.rs
@@ -22,9 +22,14 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval of checks while cut off.
 const CUT_OFF_CHECK_INTERVAL: Duration = Duration::from_millis(300);
-/// Minimum time for which an instance counts as cut off, so that callers are not sent to
-/// and fro when a partition comes and goes.
+/// Minimum time for which an instance counts as cut off. It doubles, up to the maximum, each
+/// time when the targets are lost again within [`RELAPSE_WINDOW`], so that callers are not
+/// sent to and fro when a partition comes and goes.
 const MIN_CUT_OFF: Duration = Duration::from_secs(1);
+/// Maximum of that time.
+const MAX_MIN_CUT_OFF: Duration = Duration::from_secs(8);
+/// Time after a return to the targets in which their loss is a relapse.
+const RELAPSE_WINDOW: Duration = Duration::from_secs(10);
 
 /// Results of the connects of this instance.
 #[derive(Debug, Clone, Default)]
@@ -37,6 +42,8 @@
     /// say something of their targets.
     confirmed_at: Option<Time>,
     cut_off_since: Option<Time>,
+    /// When the targets were last reached again, and the minimum time before that.
+    regained: Option<(Time, Duration)>,
     is_checking: bool,
     next_check: Time,
 }
@@ -99,6 +106,16 @@
         self.failing.contains(&run)
     }
 
+    /// Minimum time for which the instance counts as cut off that lost the targets at `since`.
+    fn min_cut_off(&self, since: Time) -> Duration {
+        match self.regained {
+            Some((at, before)) if since.since(at) <= RELAPSE_WINDOW => {
+                (before * 2).min(MAX_MIN_CUT_OFF)
+            }
+            _ => MIN_CUT_OFF,
+        }
+    }
+
     /// Records the results of a check of targets that peers report as reachable.
     pub fn finish_check(
         &mut self,
@@ -122,9 +139,15 @@
                 self.cut_off_since = Some(now);
                 Some(ReachChange::Lost)
             }
-            Some(since) if now.since(since) >= MIN_CUT_OFF && responded > failed => {
-                *self = Self::default();
-                Some(ReachChange::Regained)
+            Some(since) if responded > 0 && failed == 0 => {
+                let min_cut_off = self.min_cut_off(since);
+                (now.since(since) >= min_cut_off).then(|| {
+                    *self = Self {
+                        regained: Some((now, min_cut_off)),
+                        ..Self::default()
+                    };
+                    ReachChange::Regained
+                })
             }
             _ => None,
         };
--- a/src/entry/reach/tests.rs
+++ b/src/entry/reach/tests.rs
@@ -13,7 +13,7 @@
 }
 
 #[test]
-fn an_instance_that_others_outreach_is_cut_off_until_most_checks_succeed() {
+fn an_instance_that_others_outreach_is_cut_off_until_all_checks_succeed() {
     let mut reach = failing();
     assert!(reach.try_begin_check(at(1010)));
     assert!(!reach.try_begin_check(at(1020)), "it is being checked");
@@ -27,10 +27,10 @@
         "too early to return"
     );
     assert!(reach.try_begin_check(at(2100)));
-    assert_eq!(reach.finish_check(at(2100), 1, 2), None, "most still fail");
+    assert_eq!(reach.finish_check(at(2100), 2, 1), None, "one still fails");
     assert!(reach.try_begin_check(at(2500)));
     assert_eq!(
-        reach.finish_check(at(2500), 2, 1),
+        reach.finish_check(at(2500), 3, 0),
         Some(ReachChange::Regained)
     );
     assert!(!reach.is_cut_off() && !reach.try_begin_check(at(9000)));
@@ -79,3 +79,24 @@
     reach.record_response(at(1005), at(1002));
     assert!(!reach.try_begin_check(at(1010)), "over a new connection");
 }
+
+#[test]
+fn an_instance_whose_partition_comes_and_goes_stays_cut_off_for_longer() {
+    let mut reach = Reach::default();
+    let mut now = at(1000);
+    let mut lasted = Vec::new();
+    for _ in 0..6 {
+        let start = now;
+        assert_eq!(reach.finish_check(now, 0, 3), Some(ReachChange::Lost));
+        while reach.finish_check(now, 3, 0).is_none() {
+            now = now.after(Duration::from_millis(100));
+        }
+        lasted.push(now.since(start).as_secs());
+        now = now.after(CHECK_INTERVAL);
+    }
+    assert_eq!(lasted, [1, 2, 4, 8, 8, 8]);
+    now = now.after(2 * RELAPSE_WINDOW);
+    reach.finish_check(now, 0, 3);
+    let change = reach.finish_check(now.after(MIN_CUT_OFF), 3, 0);
+    assert_eq!(change, Some(ReachChange::Regained));
+}
