--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -307,3 +307,6 @@
     stream.read_exact(&mut bytes).await?;
     Ok(bytes)
 }
+
+#[cfg(test)]
+mod tests;
--- a/standin/src/prepared/store.rs
+++ b/standin/src/prepared/store.rs
@@ -46,6 +46,8 @@
     pub stale_by_revisions: u64,
     /// Watches deliver no events.
     pub silent_watches: bool,
+    /// Calls that began before this number was raised never get a response.
+    pub silenced: u32,
     /// Watches fail as if the history had been compacted.
     pub no_history: bool,
 }
@@ -303,7 +305,7 @@
             faults.lost_responses = faults.lost_responses.saturating_sub(1);
             lost
         });
-    if lost {
+    if lost || faults.get().silenced > now.silenced {
         std::future::pending::<()>().await;
     }
     let era = state.data.change(|data| data.era);
