Split the quarantine's records and the receivers of heartbeats from their tables

Cause: two files had grown beyond one job. Change: what is recorded of one request is in quarantine/record.rs, which instances get heartbeats and news in members/receivers.rs; code moves, nothing else changes. Result: the tests of both pass.

--- a/src/entry/members/tests.rs
+++ b/src/entry/members/tests.rs
@@ -1,3 +1,4 @@
+use super::receivers::RELAYS_PER_ZONE;
 use super::*;
 use crate::entry::watchers::should_watch;
 
