Leave targets that name a limit out of the checks of an instance's reach

Cause: found by reading: an instance that is not the prober of such a target would send it health checks, which count against the limit. Change: they are left out.

--- a/src/entry/state/probes.rs
+++ b/src/entry/state/probes.rs
@@ -67,24 +67,22 @@
             return None;
         }
         let is_cut_off = self.reach.is_cut_off();
+        // Only its prober may check a target that names a limit.
+        let may_check =
+            |view: &&TargetState| !view.is_leaving() && view.limit.per_second(now).is_none();
         let is_vouched_for = |view: &&TargetState| {
-            !view.is_leaving()
-                && !self.reports.contains_key(&view.key)
+            !self.reports.contains_key(&view.key)
                 && view.is_reported_reachable(now)
                 && (is_cut_off || !self.reach.is_failing(view.key))
         };
-        let vouched: Vec<u64> = self
-            .targets
-            .views()
+        let views = || self.targets.views().filter(may_check);
+        let mut vouched: Vec<u64> = views()
             .filter(is_vouched_for)
             .map(|view| view.key)
             .collect();
-        let vouched = if vouched.is_empty() && is_cut_off {
-            let usable = self.targets.views().filter(|view| !view.is_leaving());
-            usable.map(|view| view.key).collect()
-        } else {
-            vouched
-        };
+        if vouched.is_empty() && is_cut_off {
+            vouched.extend(views().map(|view| view.key));
+        }
         let first = index_for_draw(vouched.len(), draw);
         // Neighbours in the table are often in one zone.
         let step = (vouched.len() / CHECKED_TARGETS).max(1);
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -223,6 +223,26 @@
     }
 }
 
+/// Only the prober of a target that names a limit may send to it.
+#[tokio::test]
+async fn targets_that_name_a_limit_are_not_checked_for_a_path() {
+    let targets = IDS.map(|id| (id, ([127, 0, 0, 1], 1).into()));
+    let shared = instance_with(&targets);
+    receive_good_reports(&shared);
+    let now = shared.now();
+    let mut state = shared.state();
+    let runs: Vec<u64> = state.targets.views().map(|view| view.key).collect();
+    for run in &runs[..2] {
+        state.record_path_failure(now, *run);
+    }
+    for run in &runs[2..5] {
+        state.record_limit(now, now, *run, Some(2.4));
+    }
+    let checked = state.begin_reach_check(now, 0.0).unwrap();
+    let checked: Vec<u64> = checked.iter().map(|check| check.run).collect();
+    assert_eq!(checked, runs[5..]);
+}
+
 #[tokio::test]
 async fn targets_that_peers_report_as_good_are_not_connected_to_for_each_request() {
     let instance = CutInstance::start(Cut::Refused).await;
