Add failing tests of targets that name their leaving or a pause

Change: the stand-in target says in all its responses that it leaves, or turns all away with Retry-After, and a test of each, as the users' rules count.

--- a/standin/src/prepared/target.rs
+++ b/standin/src/prepared/target.rs
@@ -58,6 +58,11 @@
     pub crash_duration: Duration,
     /// Limit in requests a second that every response names; `None` for none.
     pub limit: Option<f64>,
+    /// Whether every response says that the target is about to leave.
+    pub names_leaving: bool,
+    /// Seconds for which requests and health checks are turned away, with this time to
+    /// retry after; `None` if none are.
+    pub pause: Option<u32>,
 }
 
 /// Counts of the requests that a target received, by their identifiers.
@@ -179,6 +184,8 @@
             shed_first: None,
             crash_duration: Duration::ZERO,
             limit: None,
+            names_leaving: false,
+            pause: None,
         }
     }
 }
@@ -197,7 +204,18 @@
     }
     cx.record
         .change(|record| record.arrival_times.push(Instant::now()));
-    let mut resp = respond(cx, req).await?;
+    let state = cx.state.get();
+    let mut resp = match state.pause {
+        Some(_) => response(503, &[("x-not-executed", "1")], String::new()),
+        None => respond(cx, req).await?,
+    };
+    if let Some(pause) = state.pause {
+        resp.headers_mut().insert("retry-after", pause.into());
+    }
+    if state.names_leaving {
+        let value = HeaderValue::from_static("1");
+        resp.headers_mut().insert("server-leaving", value);
+    }
     if let Some(limit) = cx.state.get().limit
         && let Ok(value) = HeaderValue::from_str(&limit.to_string())
     {
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -2,6 +2,7 @@
 
 mod entry_cluster;
 mod entry_crashes;
+mod entry_leaving;
 mod entry_limits;
 mod entry_restore;
 mod entry_silence;
