Decode roll-out orders, versions, client accounts and public routes

Cause: nothing knew of them; the parts to come are built on these records and settings. What earlier releases don't know follows their encoding of changes between instances.

--- a/src/entry/fleet/digest/tests.rs
+++ b/src/entry/fleet/digest/tests.rs
@@ -64,6 +64,7 @@
         leaving: false,
         cold_for: Duration::ZERO,
         started_ms: 1,
+        version: None,
     };
     let mut records = vec![
         Record::Target(target("ta", "a")),
--- a/src/entry/fleet/members/tests.rs
+++ b/src/entry/fleet/members/tests.rs
@@ -59,6 +59,7 @@
         leaving: false,
         cold_for: Duration::ZERO,
         started_ms: 1,
+        version: None,
     }
 }
 
--- a/src/entry/fleet/message.rs
+++ b/src/entry/fleet/message.rs
@@ -4,15 +4,18 @@
 //! less recent. Changes of the replica are fetched over a short TCP connection.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+use crate::account::Account;
 use crate::dispatch::quarantine::{Case, Evidence};
 use crate::entry::fleet::members::InstanceStatus;
 use crate::entry::fleet::replica::{Delta, Position};
+use crate::entry::model::{Change, Record, Target};
 use crate::entry::target::load::Load;
 use crate::entry::target::target_limit::NamedLimit;
-use crate::names::ZoneName;
+use crate::names::{VersionName, ZoneName};
 
 /// Maximum datagram size: below the usual packet size without headers.
 pub const MAX_DATAGRAM: usize = 1400;
@@ -241,17 +244,100 @@
 /// # Errors
 /// The bytes are not a valid request.
 pub fn decode_request(bytes: &[u8]) -> Result<Position, postcard::Error> {
-    let (PeerRequest::Changes(revision), era) = decode_with_era(bytes)?;
+    let (PeerRequest::Changes(revision), era, _) = decode_with_era(bytes)?;
     Ok(Position { era, revision })
 }
 
+/// What follows the changes and their era, where earlier releases ignore it.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct ChangesExtension {
+    /// What earlier releases don't know of the configuration among the changes.
+    configuration: Option<ConfigurationExtension>,
+    /// Positions of targets among the changes, with their versions.
+    versions: Vec<(usize, VersionName)>,
+    /// Changes of kinds that earlier releases don't know.
+    later_kinds: Vec<Change>,
+}
+
+/// What earlier releases don't know of a configuration.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct ConfigurationExtension {
+    /// The client accounts; `None` if they are unknown.
+    accounts: Option<Vec<Account>>,
+    /// Positions of the public routes.
+    public_routes: Vec<usize>,
+}
+
+impl ChangesExtension {
+    /// Moves the changes of later kinds out of a delta, and collects what its encoding lacks.
+    fn split_from(delta: &mut Delta) -> Self {
+        let is_later = |change: &mut Change| {
+            let record = change.record.as_ref();
+            record.is_some_and(|record| {
+                matches!(record, Record::RolloutOrder(_) | Record::RolloutDecision(_))
+            })
+        };
+        let mut extension = Self {
+            later_kinds: delta.changes.extract_if(.., is_later).collect(),
+            ..Self::default()
+        };
+        for (position, change) in delta.changes.iter().enumerate() {
+            match &change.record {
+                Some(Record::Configuration(configuration)) => {
+                    let routes = configuration.routes.iter().enumerate();
+                    let public = routes.filter(|(_, route)| route.public);
+                    extension.configuration = Some(ConfigurationExtension {
+                        accounts: configuration.accounts.clone(),
+                        public_routes: public.map(|(position, _)| position).collect(),
+                    });
+                }
+                Some(Record::Target(Target {
+                    version: Some(version),
+                    ..
+                })) => extension.versions.push((position, version.clone())),
+                _ => {}
+            }
+        }
+        extension
+    }
+
+    fn merge_into(self, delta: &mut Delta) {
+        for (position, version) in self.versions {
+            if let Some(Change {
+                record: Some(Record::Target(target)),
+                ..
+            }) = delta.changes.get_mut(position)
+            {
+                target.version = Some(version);
+            }
+        }
+        for change in &mut delta.changes {
+            if let (Some(Record::Configuration(configuration)), Some(extension)) =
+                (&mut change.record, &self.configuration)
+            {
+                let configuration = Arc::make_mut(configuration);
+                configuration.accounts.clone_from(&extension.accounts);
+                for position in &extension.public_routes {
+                    if let Some(route) = configuration.routes.get_mut(*position) {
+                        route.public = true;
+                    }
+                }
+            }
+        }
+        delta.changes.extend(self.later_kinds);
+    }
+}
+
 /// Encodes the response to a request for changes; see [`encode_request`].
 ///
 /// # Errors
 /// Never for the types here; otherwise the codec's error.
-pub fn encode_response(delta: Delta) -> Result<Vec<u8>, postcard::Error> {
+pub fn encode_response(mut delta: Delta) -> Result<Vec<u8>, postcard::Error> {
     let era = delta.era;
-    encode_with_era(&PeerResponse::Changes(delta), era)
+    let extension = ChangesExtension::split_from(&mut delta);
+    let mut bytes = encode_with_era(&PeerResponse::Changes(delta), era)?;
+    bytes.extend(encode(&extension)?);
+    Ok(bytes)
 }
 
 /// Decodes the response to a request for changes.
@@ -259,8 +345,13 @@
 /// # Errors
 /// The bytes are not a valid response.
 pub fn decode_response(bytes: &[u8]) -> Result<Delta, postcard::Error> {
-    let (PeerResponse::Changes(delta), era) = decode_with_era(bytes)?;
-    Ok(Delta { era, ..delta })
+    let (PeerResponse::Changes(mut delta), era, rest) = decode_with_era(bytes)?;
+    delta.era = era;
+    if !rest.is_empty() {
+        let extension: ChangesExtension = postcard::from_bytes(rest)?;
+        extension.merge_into(&mut delta);
+    }
+    Ok(delta)
 }
 
 fn encode_with_era<T: Serialize>(message: &T, era: u64) -> Result<Vec<u8>, postcard::Error> {
@@ -269,14 +360,16 @@
     Ok(bytes)
 }
 
-fn decode_with_era<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<(T, u64), postcard::Error> {
+/// Decodes a message and its era; returns them with the bytes that follow.
+fn decode_with_era<'a, T: Deserialize<'a>>(
+    bytes: &'a [u8],
+) -> Result<(T, u64, &'a [u8]), postcard::Error> {
     let (message, rest) = postcard::take_from_bytes(bytes)?;
-    let era = if rest.is_empty() {
-        0
-    } else {
-        postcard::from_bytes(rest)?
-    };
-    Ok((message, era))
+    if rest.is_empty() {
+        return Ok((message, 0, rest));
+    }
+    let (era, rest) = postcard::take_from_bytes(rest)?;
+    Ok((message, era, rest))
 }
 
 /// Encodes a message.
--- a/src/entry/fleet/message/tests.rs
+++ b/src/entry/fleet/message/tests.rs
@@ -229,3 +229,73 @@
     let extension: HeartbeatExtension = postcard::from_bytes(rest).unwrap();
     assert_eq!(extension.era, 4);
 }
+
+fn change(revision: u64, record: Record) -> Change {
+    Change {
+        key: revision.to_string().into(),
+        revision,
+        record: Some(record),
+    }
+}
+
+/// Earlier releases must be able to decode the changes of this one, and the other way round.
+#[test]
+fn what_earlier_releases_do_not_know_of_changes_follows_them() {
+    let target = Target {
+        id: "t".into(),
+        service: "s".into(),
+        address: ([10, 0, 0, 9], 8080).into(),
+        zone: "a".into(),
+        slots: 6,
+        leaving: false,
+        cold_for: std::time::Duration::ZERO,
+        started_ms: 1,
+        version: Some("v2".into()),
+    };
+    let mut configuration = crate::entry::testing::configuration();
+    configuration.routes[0].public = true;
+    configuration.accounts = Some(vec![Account {
+        name: "account".into(),
+        keys: vec![crate::account::KeyDigest::of(b"key")],
+        priority: Some(1),
+        limit: None,
+    }]);
+    let decision = crate::rollout::RolloutDecision {
+        service: "s".into(),
+        version: "v2".into(),
+        previous: vec!["v1".into()],
+        stage: crate::rollout::Stage::Running(6),
+        ordered_ms: 5,
+    };
+    let sent = Delta {
+        era: 4,
+        revision: 9,
+        complete: true,
+        changes: vec![
+            change(7, Record::Configuration(Arc::new(configuration.clone()))),
+            change(8, Record::Target(target.clone())),
+            change(9, Record::RolloutDecision(decision)),
+        ],
+    };
+    let bytes = encode_response(sent.clone()).unwrap();
+    assert_eq!(decode_response(&bytes).unwrap(), sent);
+    // As earlier releases decode it.
+    let earlier: PeerResponse = postcard::from_bytes(&bytes).unwrap();
+    let PeerResponse::Changes(decoded) = &earlier;
+    configuration.accounts = None;
+    configuration.routes[0].public = false;
+    let known = [
+        change(7, Record::Configuration(Arc::new(configuration))),
+        change(
+            8,
+            Record::Target(Target {
+                version: None,
+                ..target
+            }),
+        ),
+    ];
+    assert_eq!(decoded.changes, known);
+    // As earlier releases encode it.
+    let bytes = encode_with_era(&earlier, 4).unwrap();
+    assert_eq!(decode_response(&bytes).unwrap().changes, known);
+}
--- a/src/entry/fleet/replica.rs
+++ b/src/entry/fleet/replica.rs
@@ -260,13 +260,22 @@
         if order == Some(Ordering::Less) {
             return None;
         }
+        // One of a peer of an earlier release lacks the accounts.
+        let completes = present.is_some_and(|present| present.accounts.is_none())
+            && configuration.accounts.is_some();
+        if order == Some(Ordering::Equal)
+            && configuration.accounts.is_none()
+            && present.is_some_and(|present| present.accounts.is_some())
+        {
+            return None;
+        }
         let known_revision = self.revision_of(&key).unwrap_or_default();
         let entry = Entry {
             revision: known_revision.max(revision),
             record: Record::Configuration(configuration.clone()),
         };
         self.entries.insert(key, entry);
-        (order != Some(Ordering::Equal)).then(|| {
+        (order != Some(Ordering::Equal) || completes).then(|| {
             self.configuration = Some(configuration.clone());
             Applied::Configuration(configuration)
         })
--- a/src/entry/fleet/replica/tests.rs
+++ b/src/entry/fleet/replica/tests.rs
@@ -19,6 +19,7 @@
         services: IndexMap::new(),
         bounds: CallerLimits::default(),
         unknown_kinds: Vec::new(),
+        accounts: Some(Vec::new()),
     }))
 }
 
--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::account::Account;
 use crate::macros::data;
-use crate::names::{ServiceName, TargetId, ZoneName};
+use crate::names::{ServiceName, TargetId, VersionName, ZoneName};
+use crate::rollout::{RolloutDecision, RolloutOrder};
 
 data! {
     /// Whether a request may run more than once.
@@ -45,6 +47,10 @@
         pub max_attempts: u32,
         /// Services that share its requests; at least one.
         pub parts: Vec<WeightedService>,
+        /// Whether its requests need no key of a client account. It is encoded apart, since
+        /// earlier releases don't know it.
+        #[serde(skip)]
+        pub public: bool,
     }
 
     /// Configured limits of a service's targets.
@@ -93,6 +99,10 @@
         /// don't get this list, so that earlier releases can decode it.
         #[serde(skip)]
         pub unknown_kinds: Vec<UnknownKind>,
+        /// The client accounts, encoded like [`Route::public`]; `None` if they are unknown,
+        /// as in a configuration from a peer of an earlier release.
+        #[serde(skip)]
+        pub accounts: Option<Vec<Account>>,
     }
 
     /// A target as registered in the store.
@@ -113,6 +123,9 @@
         pub cold_for: Duration,
         /// Start of this run, in milliseconds since the Unix epoch.
         pub started_ms: u64,
+        /// Version of its software, encoded like [`Route::public`]; `None` if it is unknown.
+        #[serde(skip)]
+        pub version: Option<VersionName>,
     }
 
     /// An entry instance as registered in the store.
@@ -134,6 +147,11 @@
         Evacuation(ZoneName),
         /// A registered entry instance.
         Instance(Registration),
+        /// An operator's order of a roll-out. Earlier releases don't know this kind and the
+        /// next.
+        RolloutOrder(RolloutOrder),
+        /// The decision on a roll-out.
+        RolloutDecision(RolloutDecision),
     }
 
     /// A record or its removal, with its revision.
--- a/src/entry/request/routes/tests.rs
+++ b/src/entry/request/routes/tests.rs
@@ -16,6 +16,7 @@
         priority: 1,
         max_attempts: 2,
         parts: vec![weighted("s", 1.0)],
+        public: false,
     }
 }
 
@@ -33,6 +34,7 @@
         services: IndexMap::new(),
         bounds: CallerLimits::default(),
         unknown_kinds: Vec::new(),
+        accounts: Some(Vec::new()),
     })
 }
 
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -48,6 +48,37 @@
     /// Bytes that may be held for the bodies of all requests, beyond the first 16 KiB of
     /// each.
     pub body_memory: usize,
+    /// Limits of roll-outs; `None` where there are none.
+    pub rollouts: Option<RolloutLimits>,
+    /// Limits of client accounts; `None` where there are none.
+    pub accounts: Option<AccountSettings>,
+}
+
+/// Limits of roll-outs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RolloutLimits {
+    /// Share of a service's requests that a bad version may get, from all instances
+    /// together.
+    pub share: f64,
+    /// Requests that it may get in addition.
+    pub slack: f64,
+    /// Time from a version's 50th bad response until it must get no requests.
+    pub rollback_time: Duration,
+}
+
+/// Limits that hold for the client accounts of all instances together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AccountSettings {
+    /// Sliding window in which an account's requests are counted.
+    pub window: Duration,
+    /// Fraction of an account's limit that may be exceeded.
+    pub over: f64,
+    /// Requests in a window that may come in addition.
+    pub slack: f64,
+    /// Whether an instance that can't learn of withdrawn keys refuses requests.
+    pub fail_closed: bool,
+    /// Time without news after which it does.
+    pub revoke_time: Duration,
 }
 
 /// Parameters of the instance's own mechanisms, not configurable.
--- a/src/entry/state/changes.rs
+++ b/src/entry/state/changes.rs
@@ -70,7 +70,8 @@
                     self.registered.insert(key.clone(), instance.address);
                     self.members.add(now, instance.address, &instance.zone);
                 }
-                Record::Configuration(_) => {}
+                Record::Configuration(_) | Record::RolloutOrder(_) | Record::RolloutDecision(_) => {
+                }
             },
             Applied::Removed(key, record) => match record {
                 Record::Target(target) => self.targets.remove(now, &target.id, lapsed),
@@ -81,7 +82,8 @@
                 Record::Instance(_) => {
                     self.registered.swap_remove(key);
                 }
-                Record::Configuration(_) => {}
+                Record::Configuration(_) | Record::RolloutOrder(_) | Record::RolloutDecision(_) => {
+                }
             },
         }
     }
@@ -120,5 +122,7 @@
         Record::Target(_) => "ready",
         Record::Evacuation(_) => "evacuated",
         Record::Instance(_) => "registered",
+        Record::RolloutOrder(_) => "ordered",
+        Record::RolloutDecision(_) => "decided",
     }
 }
--- a/src/entry/target/targets/tests.rs
+++ b/src/entry/target/targets/tests.rs
@@ -13,6 +13,7 @@
         leaving: false,
         cold_for: Duration::ZERO,
         started_ms: 1,
+        version: None,
     }
 }
 
@@ -152,6 +153,7 @@
         NOW,
         Target {
             started_ms: 2,
+            version: None,
             ..target("t")
         },
     );
@@ -189,6 +191,7 @@
         NOW,
         Target {
             started_ms: 2,
+            version: None,
             ..target("t")
         },
     );
--- a/src/entry/testing.rs
+++ b/src/entry/testing.rs
@@ -47,6 +47,8 @@
         max_directory_ttl: Duration::from_secs(5),
         max_probe_rate: 60.0,
         body_memory: 16 << 20,
+        rollouts: None,
+        accounts: None,
     }
 }
 
@@ -73,6 +75,7 @@
             leaving: false,
             cold_for: Duration::ZERO,
             started_ms: 1,
+            version: None,
         })
     }));
     let revision = records.len() as u64;
@@ -95,7 +98,8 @@
     Arc::new(Shared::new(state, clock, EntryMetrics::new().unwrap()))
 }
 
-fn configuration() -> Configuration {
+/// A configuration with one route of the service `s`.
+pub(crate) fn configuration() -> Configuration {
     let route = Route {
         name: "r".into(),
         host: "x.example".into(),
@@ -109,6 +113,7 @@
             service: "s".into(),
             weight: 1.0,
         }],
+        public: false,
     };
     let limits = ServiceLimits {
         health_path: "/health".into(),
@@ -121,6 +126,7 @@
         services: [("s".into(), limits)].into_iter().collect(),
         bounds: CallerLimits::default(),
         unknown_kinds: Vec::new(),
+        accounts: Some(Vec::new()),
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 //! holds the resources that operators declare, and [`server`] runs all of them as
 //! one entry instance.
 
+mod account;
 mod config;
 mod control;
 mod demo;
@@ -16,6 +17,7 @@
 mod macros;
 mod names;
 mod observe;
+mod rollout;
 mod tables;
 
 pub mod admission;
--- a/src/names.rs
+++ b/src/names.rs
@@ -18,6 +18,10 @@
     /// Name of a client account.
     CallerName
 }
+name_type! {
+    /// Version of the software of a service's targets.
+    VersionName
+}
 name_type! {
     /// Identifier of a target in the platform's instance list.
     TargetId
--- a/src/platform/prepared/record.rs
+++ b/src/platform/prepared/record.rs
@@ -1,5 +1,6 @@
 //! Decodes the records of the platform's store into the types of [`crate::entry::model`].
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,16 +10,24 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
+use crate::account::{Account, AccountLimit, KeyDigest};
 use crate::entry::model::{
     CallerLimits, Configuration, Record, Registration, RetrySafety, Route, ServiceLimits, Target,
     UnknownKind, WeightedService,
 };
 use crate::names::{ServiceName, ZoneName};
+use crate::rollout::{RolloutDecision, RolloutOrder, Stage};
 
 /// Key of the configuration.
 const CONFIGURATION_KEY: &str = "op/config";
 /// Prefix of the keys that name evacuated zones, which get no requests.
 const EVACUATION_PREFIX: &str = "op/evacuate/";
+/// Prefix of the keys of operators' roll-out orders; the rest is the service's name.
+const ROLLOUT_ORDER_PREFIX: &str = "op/rollout/";
+/// Prefix of the keys of this program's decisions on roll-outs.
+const ROLLOUT_DECISION_PREFIX: &str = "rollouts/";
+/// Prefix of the keys under which operators read the states of roll-outs.
+const ROLLOUT_STATUS_PREFIX: &str = "status/rollout/";
 /// Prefix of the keys of targets; the rest is the target's id.
 const TARGET_PREFIX: &str = "servers/";
 /// Prefix of the keys under which entry instances register.
@@ -59,6 +68,13 @@
     if let Some(id) = key.strip_prefix(TARGET_PREFIX) {
         return decode_target(id, value).map(|target| Some(Record::Target(target)));
     }
+    if let Some(service) = key.strip_prefix(ROLLOUT_ORDER_PREFIX) {
+        return decode_order(service, value).map(|order| Some(Record::RolloutOrder(order)));
+    }
+    if let Some(service) = key.strip_prefix(ROLLOUT_DECISION_PREFIX) {
+        return decode_decision(service, value)
+            .map(|decision| Some(Record::RolloutDecision(decision)));
+    }
     if key.starts_with(INSTANCE_PREFIX) {
         let wire: InstanceValue = parse_json(value)?;
         return Ok(Some(Record::Instance(Registration {
@@ -93,6 +109,8 @@
     warmup_left_ms: f64,
     #[serde(default)]
     born: u64,
+    #[serde(default)]
+    version: Option<Box<str>>,
 }
 
 fn decode_target(id: &str, value: &[u8]) -> Result<Target, String> {
@@ -109,9 +127,110 @@
         leaving: matches!(wire.state, TargetState::Draining),
         cold_for: duration_from_millis(wire.warmup_left_ms),
         started_ms: wire.born,
+        version: wire.version.as_deref().map(Into::into),
+    })
+}
+
+#[derive(Deserialize)]
+struct OrderValue {
+    target_version: Box<str>,
+    duration_s: f64,
+}
+
+fn decode_order(service: &str, value: &[u8]) -> Result<RolloutOrder, String> {
+    let wire: OrderValue = parse_json(value)?;
+    if service.is_empty() || wire.target_version.is_empty() {
+        return Err("the order names no service or target_version".into());
+    }
+    if wire.duration_s.is_nan() || wire.duration_s <= 0.0 {
+        return Err("duration_s must be above 0".into());
+    }
+    Ok(RolloutOrder {
+        service: service.into(),
+        version: (&*wire.target_version).into(),
+        duration: duration_from_millis(wire.duration_s * 1000.0),
+    })
+}
+
+/// Format of the decisions that this release writes. One that it does not know is an error,
+/// so that a decision of a later release is not taken for another one.
+const DECISION_FORMAT: u32 = 1;
+
+/// A decision as it is stored.
+#[derive(Serialize, Deserialize)]
+struct DecisionValue {
+    format: u32,
+    version: Box<str>,
+    previous: Vec<Box<str>>,
+    state: StateValue,
+    /// Share of the new version while it is running, in percent.
+    percent: u8,
+    ordered_ms: u64,
+}
+
+/// State of a roll-out as operators read it.
+#[derive(Clone, Copy, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum StateValue {
+    Running,
+    Completed,
+    RolledBack,
+}
+
+fn decode_decision(service: &str, value: &[u8]) -> Result<RolloutDecision, String> {
+    let wire: DecisionValue = parse_json(value)?;
+    if wire.format != DECISION_FORMAT {
+        return Err(format!("unknown format {}", wire.format));
+    }
+    let previous = wire.previous.iter();
+    Ok(RolloutDecision {
+        service: service.into(),
+        version: (&*wire.version).into(),
+        previous: previous.map(|version| (&**version).into()).collect(),
+        stage: match wire.state {
+            StateValue::Running => Stage::Running(wire.percent.min(100)),
+            StateValue::Completed => Stage::Completed,
+            StateValue::RolledBack => Stage::RolledBack,
+        },
+        ordered_ms: wire.ordered_ms,
     })
 }
 
+#[cfg_attr(
+    not(test),
+    expect(dead_code, reason = "written by the holder of a roll-out")
+)]
+/// The records that a decision is written to, as keys and values: the decision itself,
+/// whose revision is to be compared, and the state that operators read.
+pub(crate) fn decision_records(decision: &RolloutDecision) -> [(String, Vec<u8>); 2] {
+    let (state, percent) = match decision.stage {
+        Stage::Running(percent) => (StateValue::Running, percent),
+        Stage::Completed => (StateValue::Completed, 100),
+        Stage::RolledBack => (StateValue::RolledBack, 0),
+    };
+    let previous = decision.previous.iter();
+    let value = DecisionValue {
+        format: DECISION_FORMAT,
+        version: decision.version.as_str().into(),
+        previous: previous.map(|version| version.as_str().into()).collect(),
+        state,
+        percent,
+        ordered_ms: decision.ordered_ms,
+    };
+    let status = serde_json::json!({ "state": state, "target_version": decision.version });
+    let service = &decision.service;
+    [
+        (
+            format!("{ROLLOUT_DECISION_PREFIX}{service}"),
+            serde_json::to_vec(&value).unwrap_or_default(),
+        ),
+        (
+            format!("{ROLLOUT_STATUS_PREFIX}{service}"),
+            status.to_string().into_bytes(),
+        ),
+    ]
+}
+
 /// Rows of JSON values whose field names are stated once, in `columns`.
 #[derive(Deserialize)]
 struct Table {
@@ -150,6 +269,8 @@
     services: Table,
     #[serde(default)]
     limits: Option<LimitsValue>,
+    #[serde(default)]
+    tenants: Option<Table>,
 }
 
 #[derive(Deserialize)]
@@ -200,6 +321,21 @@
     service: Option<Box<str>>,
     #[serde(default)]
     traffic_split: Option<Vec<WeightedServiceValue>>,
+    #[serde(default)]
+    public: bool,
+}
+
+#[derive(Deserialize)]
+struct AccountValue {
+    name: Box<str>,
+    #[serde(default)]
+    api_keys: Vec<Box<str>>,
+    #[serde(default)]
+    priority: Option<u32>,
+    #[serde(default)]
+    rate_per_s: Option<f64>,
+    #[serde(default)]
+    burst: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -231,12 +367,62 @@
         let name = route.name.clone();
         convert_route(route, &services).map_err(|problem| format!("route {name}: {problem}"))
     };
+    let accounts = match wire.tenants {
+        Some(table) => convert_accounts(&table.decode("tenant")?)?,
+        None => Vec::new(),
+    };
     Ok(Configuration {
         version: parse_version(&wire.version)?,
         routes: routes.into_iter().map(convert).collect::<Result<_, _>>()?,
         services,
         bounds,
         unknown_kinds,
+        accounts: Some(accounts),
+    })
+}
+
+/// Converts the accounts. Two that share a name or a key are an error, since a request's
+/// account would be ambiguous.
+fn convert_accounts(values: &[AccountValue]) -> Result<Vec<Account>, String> {
+    let mut names = HashSet::new();
+    let mut keys = HashSet::new();
+    for value in values {
+        if value.name.is_empty() || !names.insert(value.name.clone()) {
+            return Err(format!(
+                "tenant {:?}: its name is empty or used twice",
+                value.name
+            ));
+        }
+        if !value
+            .api_keys
+            .iter()
+            .all(|key| !key.is_empty() && keys.insert(key.clone()))
+        {
+            return Err(format!(
+                "tenant {}: a key is empty or used twice",
+                value.name
+            ));
+        }
+    }
+    values.iter().map(convert_account).collect()
+}
+
+fn convert_account(wire: &AccountValue) -> Result<Account, String> {
+    let rate = wire.rate_per_s.unwrap_or_default();
+    let burst = wire.burst.unwrap_or_default();
+    let is_valid = |value: f64| value.is_finite() && value >= 0.0;
+    if !is_valid(rate) || !is_valid(burst) {
+        return Err(format!(
+            "tenant {}: rate_per_s and burst must be numbers that are not negative",
+            wire.name
+        ));
+    }
+    let keys = wire.api_keys.iter();
+    Ok(Account {
+        name: (&*wire.name).into(),
+        keys: keys.map(|key| KeyDigest::of(key.as_bytes())).collect(),
+        priority: wire.priority,
+        limit: (rate > 0.0).then_some(AccountLimit { rate, burst }),
     })
 }
 
@@ -288,6 +474,7 @@
         priority: wire.priority,
         max_attempts: wire.max_attempts.unwrap_or(1),
         parts,
+        public: wire.public,
     })
 }
 
--- a/src/platform/prepared/record/tests.rs
+++ b/src/platform/prepared/record/tests.rs
@@ -137,6 +137,96 @@
     }
 }
 
+fn with_accounts(rows: &str) -> String {
+    let accounts = format!(
+        r#""tenants": {{"columns": ["name", "api_keys", "priority", "rate_per_s", "burst"], "rows": [{rows}]}}, "limits""#
+    );
+    CONFIGURATION_TEXT.replace(r#""limits""#, &accounts)
+}
+
+#[test]
+fn accounts_are_decoded_without_their_keys() {
+    let text =
+        with_accounts(r#"["big", ["k1", "k2"], 0, 240, 12.5], ["small", [], null, 0, null]"#);
+    let Ok(Some(Record::Configuration(configuration))) = decode("op/config", text.as_bytes())
+    else {
+        panic!("the configuration was not decoded");
+    };
+    let big = Account {
+        name: "big".into(),
+        keys: vec![KeyDigest::of(b"k1"), KeyDigest::of(b"k2")],
+        priority: Some(0),
+        limit: Some(AccountLimit {
+            rate: 240.0,
+            burst: 12.5,
+        }),
+    };
+    let small = Account {
+        name: "small".into(),
+        keys: Vec::new(),
+        priority: None,
+        limit: None,
+    };
+    assert_eq!(configuration.accounts, Some(vec![big, small]));
+}
+
+#[test]
+fn an_ambiguous_or_absurd_account_makes_the_configuration_invalid() {
+    let invalid = [
+        r#"["", ["k"], 0, 1, 1]"#,
+        r#"["a", ["k"], 0, 1, 1], ["a", ["l"], 0, 1, 1]"#,
+        r#"["a", ["k"], 0, 1, 1], ["b", ["k"], 0, 1, 1]"#,
+        r#"["a", [""], 0, 1, 1]"#,
+        r#"["a", ["k"], 0, -1, 1]"#,
+        r#"["a", ["k"], 0, 1, -1]"#,
+        r#"["a", ["k"], 0, "many", 1]"#,
+        r#"["a", ["k"], -1, 1, 1]"#,
+        r#"["a", "k", 0, 1, 1]"#,
+    ];
+    for rows in invalid {
+        let decoded = decode("op/config", with_accounts(rows).as_bytes());
+        assert!(decoded.is_err(), "{rows} {decoded:?}");
+    }
+}
+
+#[test]
+fn roll_out_orders_are_decoded_and_decisions_decode_to_themselves() {
+    let text = br#"{"service":"s","target_version":"v2","duration_s":12.5}"#;
+    let order = RolloutOrder {
+        service: "s".into(),
+        version: "v2".into(),
+        duration: Duration::from_millis(12_500),
+    };
+    assert_eq!(
+        decode("op/rollout/s", text),
+        Ok(Some(Record::RolloutOrder(order)))
+    );
+    for stage in [Stage::Running(6), Stage::Completed, Stage::RolledBack] {
+        let decision = RolloutDecision {
+            service: "s".into(),
+            version: "v2".into(),
+            previous: vec!["v1".into()],
+            stage,
+            ordered_ms: 1_700_000_000_123,
+        };
+        let [(key, value), (status_key, status)] = decision_records(&decision);
+        assert_eq!(
+            decode(&key, &value),
+            Ok(Some(Record::RolloutDecision(decision)))
+        );
+        assert_eq!(decode(&status_key, &status), Ok(None));
+    }
+    let invalid: [(&str, &[u8]); 4] = [
+        ("op/rollout/s", br#"{"target_version":"","duration_s":12}"#),
+        ("op/rollout/s", br#"{"target_version":"v2","duration_s":0}"#),
+        ("op/rollout/", br#"{"target_version":"v2","duration_s":12}"#),
+        ("rollouts/s", br#"{"format":2,"version":"v2"}"#),
+    ];
+    for (key, value) in invalid {
+        assert!(decode(key, value).is_err(), "{key}");
+    }
+}
+
 #[test]
 fn unknown_keys_are_ignored_and_evacuations_need_no_value() {
     assert_eq!(decode("other/key", b"{}"), Ok(None));
--- a/src/platform/prepared/settings.rs
+++ b/src/platform/prepared/settings.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use serde::Deserialize;
 
-use crate::entry::settings::EntrySettings;
+use crate::entry::settings::{AccountSettings, EntrySettings, RolloutLimits};
 use crate::error::Error;
 
 /// Environment variable with the path of the settings file.
@@ -16,6 +16,10 @@
 /// Fraction of the instance's memory for the bodies of requests. Responses, connections
 /// and the view of the targets need the rest.
 const BODY_MEMORY_FRACTION: f64 = 0.125;
+/// Name of the part of the platform's rules that concerns client accounts.
+const ACCOUNTS_CONTRACT: &str = "tenants";
+/// Window of accounts' limits if the settings name none, in seconds.
+const DEFAULT_QUOTA_WINDOW_S: f64 = 5.0;
 /// Path of the settings file if the variable is not set.
 const DEFAULT_PATH: &str = "/etc/wagtailsaddle/settings.json";
 
@@ -76,6 +80,9 @@
     seeds: Vec<SocketAddr>,
     #[serde(default)]
     bootstrap: bool,
+    /// Names of the parts of the platform's rules that are in force.
+    #[serde(default)]
+    contracts: Vec<String>,
     #[serde(default)]
     bounds: Bounds,
     platform: Platform,
@@ -120,6 +127,14 @@
     cold_slack: f64,
     ttl_max_s: f64,
     probes_per_s: f64,
+    expose_share: Option<f64>,
+    expose_slack: f64,
+    rollback_ms: f64,
+    quota_window_s: Option<f64>,
+    quota_over: f64,
+    quota_slack: f64,
+    fail_closed: bool,
+    revoke_ms: f64,
 }
 
 impl Default for Bounds {
@@ -133,6 +148,14 @@
             cold_slack: 0.0,
             ttl_max_s: 5.0,
             probes_per_s: 10.0,
+            expose_share: None,
+            expose_slack: 0.0,
+            rollback_ms: 5000.0,
+            quota_window_s: None,
+            quota_over: 0.0,
+            quota_slack: 0.0,
+            fail_closed: false,
+            revoke_ms: 5000.0,
         }
     }
 }
@@ -174,6 +197,28 @@
         bounds.probes_per_s > 0.0,
         "bounds.probes_per_s: must be above 0",
     );
+    require(
+        bounds
+            .expose_share
+            .is_none_or(|share| (0.0..=1.0).contains(&share)),
+        "bounds.expose_share: must be from 0 to 1",
+    );
+    require(
+        bounds.expose_slack >= 0.0 && bounds.rollback_ms >= 0.0,
+        "bounds.expose_slack, bounds.rollback_ms: must not be negative",
+    );
+    require(
+        bounds.quota_window_s.is_none_or(|window| window > 0.0),
+        "bounds.quota_window_s: must be above 0",
+    );
+    require(
+        bounds.quota_over >= 0.0 && bounds.quota_slack >= 0.0,
+        "bounds.quota_over, bounds.quota_slack: must not be negative",
+    );
+    require(
+        bounds.revoke_ms >= 0.0,
+        "bounds.revoke_ms: must not be negative",
+    );
     require(
         wire.limits.memory_mb > 0.0,
         "limits.memory_mb: must be above 0",
@@ -182,6 +227,7 @@
 }
 
 fn convert(wire: Settings) -> EntrySettings {
+    let has_accounts = wire.contracts.iter().any(|part| part == ACCOUNTS_CONTRACT);
     let bounds = wire.bounds;
     EntrySettings {
         name: wire.node_name.into(),
@@ -206,6 +252,18 @@
         max_directory_ttl: duration_from_secs(bounds.ttl_max_s),
         max_probe_rate: bounds.probes_per_s,
         body_memory: body_memory(wire.limits.memory_mb),
+        rollouts: bounds.expose_share.map(|share| RolloutLimits {
+            share,
+            slack: bounds.expose_slack,
+            rollback_time: duration_from_secs(bounds.rollback_ms / 1000.0),
+        }),
+        accounts: (has_accounts || bounds.quota_window_s.is_some()).then(|| AccountSettings {
+            window: duration_from_secs(bounds.quota_window_s.unwrap_or(DEFAULT_QUOTA_WINDOW_S)),
+            over: bounds.quota_over,
+            slack: bounds.quota_slack,
+            fail_closed: bounds.fail_closed,
+            revoke_time: duration_from_secs(bounds.revoke_ms / 1000.0),
+        }),
     }
 }
 
--- a/src/platform/prepared/settings/tests.rs
+++ b/src/platform/prepared/settings/tests.rs
@@ -32,6 +32,38 @@
     insta::assert_debug_snapshot!(parse(&text).unwrap_err());
 }
 
+#[test]
+fn roll_outs_and_accounts_are_used_where_the_settings_have_their_limits() {
+    let plain = parse(TEXT).unwrap();
+    assert_eq!((plain.rollouts, plain.accounts), (None, None));
+    let bounds = r#""bounds": {"expose_share": 0.1, "expose_slack": 50, "rollback_ms": 4000,
+        "fail_closed": true, "revoke_ms": 3000, "quota_over": 0.1, "quota_slack": 20, "#;
+    let text = TEXT.replace(r#""bounds": {"#, bounds).replace(
+        r#""bootstrap""#,
+        r#""contracts": ["base", "tenants"], "bootstrap""#,
+    );
+    let settings = parse(&text).unwrap();
+    let rollouts = RolloutLimits {
+        share: 0.1,
+        slack: 50.0,
+        rollback_time: Duration::from_secs(4),
+    };
+    let accounts = AccountSettings {
+        window: Duration::from_secs(5),
+        over: 0.1,
+        slack: 20.0,
+        fail_closed: true,
+        revoke_time: Duration::from_secs(3),
+    };
+    assert_eq!(settings.rollouts, Some(rollouts));
+    assert_eq!(settings.accounts, Some(accounts));
+    let problems = parse(&text.replace(r#""expose_share": 0.1"#, r#""expose_share": 1.5"#));
+    assert_eq!(
+        problems.unwrap_err(),
+        ["bounds.expose_share: must be from 0 to 1"]
+    );
+}
+
 #[test]
 fn a_wrong_type_is_reported_with_its_path() {
     let text = TEXT.replace("\"10.200.1.7:8384\"", "7");
