Run pipelined idempotent requests of a connection side by side

Cause: requests that a caller sends before earlier ones are answered ran one after the other, so a slow first one made all behind it late; the time they waited in the buffer did not count for their deadline. Change: http1::pipeline starts idempotent requests without a body ahead, within a bound, and answers in order; a request counts from when its first byte was read.

--- a/src/entry/request/forward.rs
+++ b/src/entry/request/forward.rs
@@ -12,6 +12,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use http::HeaderMap;
 
 use self::queue_place::QueuePlace;
 use crate::entry::model::{RetrySafety, Route};
@@ -93,6 +94,17 @@
     reply
 }
 
+/// Whether a request may run before earlier ones of its connection are answered: it is
+/// idempotent.
+pub(crate) fn may_run_ahead(shared: &Shared, target: &str, headers: &HeaderMap) -> bool {
+    let path = target.split('?').next().unwrap_or_default();
+    let state = shared.state();
+    state
+        .routes
+        .find(host(headers), path)
+        .is_some_and(|route| route.retry_safety == RetrySafety::Safe)
+}
+
 /// A request with its route and service.
 #[derive(Debug)]
 pub(crate) struct AdmittedRequest {
@@ -117,7 +129,7 @@
 impl RequestIdentity {
     fn of(req: &Request) -> Self {
         Self {
-            host: host(req).to_owned(),
+            host: host(&req.headers).to_owned(),
             method: req.method.clone(),
             target: req.target.clone(),
         }
@@ -394,7 +406,7 @@
     /// Finds the route and service of a request.
     fn admit(&self, req: &Request) -> Result<AdmittedRequest, Outcome> {
         let now: Time = self.now();
-        let host = host(req);
+        let host = host(&req.headers);
         let path = req.target.split('?').next().unwrap_or_default();
         let mut state = self.state();
         let version = state.status.version;
@@ -416,8 +428,8 @@
     }
 }
 
-fn host(req: &Request) -> &str {
-    req.headers
+fn host(headers: &HeaderMap) -> &str {
+    headers
         .get(http::header::HOST)
         .and_then(|host| host.to_str().ok())
         .unwrap_or_default()
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -155,9 +155,13 @@
 ) {
     let handler_shared = shared.clone();
     let limits_shared = shared.clone();
+    let ahead_shared = shared.clone();
     let context = ServerContext {
         handler: move |req: Request, _| forward::serve(handler_shared.clone(), req),
         body_memory: shared.body_memory.clone(),
+        may_run_ahead: Box::new(move |target, headers| {
+            forward::may_run_ahead(&ahead_shared, target, headers)
+        }),
         limits: Box::new(move || {
             let limits = limits_shared.state().caller_limits();
             RequestLimits {
@@ -193,6 +197,7 @@
             async move { reply }
         },
         body_memory,
+        may_run_ahead: Box::new(|_, _| false),
         limits: Box::new(|| {
             let limits = crate::entry::model::CallerLimits::default();
             RequestLimits {
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod body;
 pub(crate) mod client;
 mod incoming;
+mod pipeline;
 pub(crate) mod request_body;
 pub(crate) mod server;
 
--- a/src/http1/server.rs
+++ b/src/http1/server.rs
@@ -1,5 +1,7 @@
-//! Server side of one connection: reads requests and writes responses in order.
+//! Server side of one connection: reads requests, some of them while earlier ones run, and
+//! writes responses in order.
 
+use std::collections::VecDeque;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,6 +16,7 @@
 use super::body::{BodyError, Framing, declared_framing};
 use super::client::set_socket_options;
 use super::incoming::{BODY_READ_BYTES, Discarded, IncomingBody};
+use super::pipeline::{Exchange, Pipeline};
 use super::request_body::{BodyMemory, RequestBody};
 use super::{MAX_HEADERS, READ_BYTES, connection_lists, header_map, write_headers};
 
@@ -81,6 +84,9 @@
     Closing,
 }
 
+/// Decides by the target and the headers of a request.
+pub(crate) type MayRunAhead = Box<dyn Fn(&str, &HeaderMap) -> bool + Send + Sync>;
+
 /// What the connections of one listener share.
 pub(crate) struct ServerContext<H> {
     /// Returns the future that handles a request. The future is dropped when the client
@@ -88,6 +94,10 @@
     pub handler: H,
     /// Returns the limits in force; called before each request.
     pub limits: Box<dyn Fn() -> RequestLimits + Send + Sync>,
+    /// Whether a request without a body may be handled before earlier ones of its connection
+    /// are answered. If the connection ends, its client sends it again, so it must be
+    /// idempotent.
+    pub may_run_ahead: MayRunAhead,
     /// Memory for the bodies of requests.
     pub body_memory: Arc<BodyMemory>,
     /// Current phase of a graceful shutdown.
@@ -101,57 +111,81 @@
     F: Future<Output = Reply>,
 {
     set_socket_options(&stream);
-    let mut conn = ServerConn {
-        stream,
-        buf: BytesMut::new(),
-    };
+    let mut conn = ServerConn::new(stream);
     let mut shutdown = context.shutdown.clone();
+    let mut pipeline = Pipeline::new();
     loop {
-        let limits = (context.limits)();
-        let (head, received) = match conn.next_head(limits, &mut shutdown).await {
-            Next::Request(head, received) => (head, received),
-            Next::Reject(status) => {
-                let reply = Reply::empty(status);
-                if conn.send(&encode(&reply, Persistence::Close, false)).await {
-                    conn.close().await;
+        if pipeline.front_mut().is_none() {
+            let limits = (context.limits)();
+            match conn.next_head(limits, &mut shutdown).await {
+                Next::Request(head, received) => {
+                    pipeline.push(start(context, peer, head, received, limits));
                 }
-                return;
+                Next::Reject(status) => {
+                    let reply = Reply::empty(status);
+                    if conn.send(&encode(&reply, Persistence::Close, false)).await {
+                        conn.close().await;
+                    }
+                    return;
+                }
+                Next::End => return,
             }
-            Next::End => return,
-        };
-        let persistence = head.persistence();
-        let is_head = head.method == "HEAD";
-        let awaits_continue = head.expects_continue() == Ok(true);
-        let memory = &context.body_memory;
-        let mut incoming = IncomingBody::new(head.framing, awaits_continue, limits, memory);
-        let req = Request {
-            method: head.method,
-            target: head.target,
-            headers: head.headers,
-            body: incoming.body.clone(),
-            received,
-            chunked: head.framing == Framing::Chunked,
-        };
-        let handler = (context.handler)(req, peer);
-        let Some(reply) = conn.run(handler, &mut incoming).await else {
+        }
+        let Some((mut exchange, reply)) = conn.run(&mut pipeline, context, peer).await else {
             return;
         };
-        let is_serving = *shutdown.borrow() == ShutdownPhase::Serving;
-        let persistence = if is_serving && incoming.may_end() {
-            persistence
+        // Requests that were started are answered before the connection is closed.
+        let is_kept =
+            pipeline.front_mut().is_some() || *shutdown.borrow() == ShutdownPhase::Serving;
+        let persistence = if is_kept && exchange.incoming.may_end() {
+            exchange.persistence
         } else {
             Persistence::Close
         };
-        if !conn.send(&encode(&reply, persistence, is_head)).await {
+        if !conn
+            .send(&encode(&reply, persistence, exchange.is_head))
+            .await
+        {
             return;
         }
-        if !conn.discard_rest(&mut incoming).await || persistence == Persistence::Close {
+        if !conn.discard_rest(&mut exchange.incoming).await || persistence == Persistence::Close {
             conn.close().await;
             return;
         }
     }
 }
 
+/// Starts to handle a request.
+fn start<H, F>(
+    context: &ServerContext<H>,
+    peer: SocketAddr,
+    head: Head,
+    received: Instant,
+    limits: RequestLimits,
+) -> Exchange<F>
+where
+    H: Fn(Request, SocketAddr) -> F,
+{
+    let persistence = head.persistence();
+    let is_head = head.method == "HEAD";
+    let awaits_continue = head.expects_continue() == Ok(true);
+    let memory = &context.body_memory;
+    let mut incoming = IncomingBody::new(head.framing, awaits_continue, limits, memory);
+    if head.framing == Framing::None {
+        incoming.receive(&mut BytesMut::new());
+    }
+    let req = Request {
+        chunked: head.framing == Framing::Chunked,
+        method: head.method,
+        target: head.target,
+        headers: head.headers,
+        body: incoming.body.clone(),
+        received,
+    };
+    let handler = (context.handler)(req, peer);
+    Exchange::new(handler, persistence, is_head, incoming)
+}
+
 impl Reply {
     /// Creates a response without headers and body.
     pub(crate) fn empty(status: u16) -> Self {
@@ -165,6 +199,10 @@
 struct ServerConn {
     stream: TcpStream,
     buf: BytesMut,
+    /// Bytes read so far.
+    total_read: u64,
+    /// When the bytes in `buf` were read: the position of the first one of each read.
+    reads: VecDeque<(u64, Instant)>,
 }
 
 /// What to do next on a connection.
@@ -187,7 +225,7 @@
 
 /// Whether a connection is kept open after a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Persistence {
+pub(super) enum Persistence {
     /// It is, as the version implies.
     Keep,
     /// It is, and an HTTP/1.0 client that asked for it must be told.
@@ -225,6 +263,64 @@
 }
 
 impl ServerConn {
+    fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            buf: BytesMut::new(),
+            total_read: 0,
+            reads: VecDeque::new(),
+        }
+    }
+
+    /// Reads some bytes, `count` at most at a time; false once the client has closed the
+    /// connection. Dropping the future loses none.
+    async fn read(&mut self, count: usize) -> bool {
+        self.buf.reserve(count);
+        match self.stream.read_buf(&mut self.buf).await {
+            Ok(count) if count > 0 => {
+                self.reads.push_back((self.total_read, Instant::now()));
+                self.total_read += count as u64;
+                self.forget_reads();
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Forgets when bytes were read that are no longer in the buffer.
+    fn forget_reads(&mut self) {
+        let first = self.total_read - self.buf.len() as u64;
+        while self.reads.get(1).is_some_and(|(start, _)| *start <= first) {
+            self.reads.pop_front();
+        }
+    }
+
+    /// When the first byte in the buffer was read.
+    fn first_byte_read(&mut self) -> Instant {
+        self.forget_reads();
+        self.reads.front().map_or_else(Instant::now, |(_, at)| *at)
+    }
+
+    /// Takes the next request out of the buffer if it is whole, may be started beside earlier
+    /// ones, and `may_run_ahead` allows it.
+    fn next_ahead(
+        &mut self,
+        limits: RequestLimits,
+        may_run_ahead: &MayRunAhead,
+    ) -> Option<(Head, Instant)> {
+        // An invalid request is rejected once the earlier ones are answered.
+        let (head, length) = parse_request(&self.buf).ok()??;
+        let is_plain = head.framing == Framing::None
+            && head.expects_continue() == Ok(false)
+            && length <= limits.max_header_bytes;
+        if !is_plain || !may_run_ahead(&head.target, &head.headers) {
+            return None;
+        }
+        let received = self.first_byte_read();
+        let _ = self.buf.split_to(length);
+        Some((head, received))
+    }
+
     /// Reads the head of the next request.
     async fn next_head(
         &mut self,
@@ -234,7 +330,7 @@
         if self.buf.is_empty() && !self.wait_for_bytes(limits.idle_timeout, shutdown).await {
             return Next::End;
         }
-        let received = Instant::now();
+        let received = self.first_byte_read();
         let head = match tokio::time::timeout(limits.header_timeout, self.read_head(limits)).await {
             Ok(Ok(head)) => head,
             Ok(Err(next)) => return next,
@@ -255,11 +351,10 @@
         idle: Duration,
         shutdown: &mut watch::Receiver<ShutdownPhase>,
     ) -> bool {
-        self.buf.reserve(READ_BYTES);
         let closing = shutdown.wait_for(|phase| *phase >= ShutdownPhase::Closing);
         tokio::select! {
             biased;
-            read = self.stream.read_buf(&mut self.buf) => matches!(read, Ok(count) if count > 0),
+            has_read = self.read(READ_BYTES) => has_read,
             _ = closing => false,
             () = tokio::time::sleep(idle) => false,
         }
@@ -280,54 +375,65 @@
             if self.buf.len() > limits.max_header_bytes {
                 return Err(Next::Reject(431));
             }
-            self.buf.reserve(READ_BYTES);
-            match self.stream.read_buf(&mut self.buf).await {
-                Ok(count) if count > 0 => {}
-                _ => return Err(Next::End),
+            if !self.read(READ_BYTES).await {
+                return Err(Next::End);
             }
         }
     }
 
-    /// Runs a handler while receiving the body and reading ahead, which detects a
-    /// disconnect of the client. Returns `None` if the client disconnected first.
-    async fn run(
+    /// Runs the requests of the pipeline until the first one has its response, while
+    /// receiving its body and reading ahead, which detects a disconnect of the client and
+    /// starts further requests. Returns `None` if the client disconnected first.
+    async fn run<H, F>(
         &mut self,
-        handler: impl Future<Output = Reply>,
-        incoming: &mut IncomingBody,
-    ) -> Option<Reply> {
-        tokio::pin!(handler);
+        pipeline: &mut Pipeline<F>,
+        context: &ServerContext<H>,
+        peer: SocketAddr,
+    ) -> Option<(Exchange<F>, Reply)>
+    where
+        H: Fn(Request, SocketAddr) -> F,
+        F: Future<Output = Reply>,
+    {
         loop {
+            self.start_ahead(pipeline, context, peer);
+            let incoming = &mut pipeline.front_mut()?.incoming;
             incoming.receive(&mut self.buf);
             if incoming.awaits_continue {
                 // A request that is refused at once is refused before its body is sent.
                 tokio::select! {
                     biased;
-                    reply = &mut handler => return Some(reply),
+                    () = pipeline.front_replied() => return pipeline.take_front(),
                     () = std::future::ready(()) => {}
                 }
-                incoming.awaits_continue = false;
+                pipeline.front_mut()?.incoming.awaits_continue = false;
                 if !self.send(b"HTTP/1.1 100 Continue\r\n\r\n").await {
                     return None;
                 }
             }
+            let incoming = &mut pipeline.front_mut()?.incoming;
             let is_open = incoming.is_open();
             let may_read = if is_open {
                 incoming.body.has_space()
             } else {
                 self.buf.len() < MAX_READ_AHEAD_BYTES
             };
-            self.buf
-                .reserve(if is_open { BODY_READ_BYTES } else { READ_BYTES });
+            let count = if is_open { BODY_READ_BYTES } else { READ_BYTES };
             let idle = tokio::time::sleep_until(incoming.idle_deadline().into());
+            let body = incoming.body.clone();
             tokio::select! {
                 biased;
-                reply = &mut handler => return Some(reply),
-                read = self.stream.read_buf(&mut self.buf), if may_read => match read {
-                    Ok(count) if count > 0 => incoming.record_progress(),
-                    _ => return None,
+                () = pipeline.front_replied() => return pipeline.take_front(),
+                has_read = self.read(count), if may_read => {
+                    if !has_read {
+                        return None;
+                    }
+                    pipeline.front_mut()?.incoming.record_progress();
                 },
-                () = incoming.body.freed(), if is_open && !may_read => incoming.record_progress(),
+                () = body.freed(), if is_open && !may_read => {
+                    pipeline.front_mut()?.incoming.record_progress();
+                }
                 () = idle, if is_open && may_read => {
+                    let incoming = &mut pipeline.front_mut()?.incoming;
                     let err = BodyError::Stalled(incoming.idle_timeout);
                     incoming.fail(err);
                 }
@@ -335,6 +441,29 @@
         }
     }
 
+    /// Starts the requests that have arrived behind those that run, as far as they may run
+    /// side by side.
+    fn start_ahead<H, F>(
+        &mut self,
+        pipeline: &mut Pipeline<F>,
+        context: &ServerContext<H>,
+        peer: SocketAddr,
+    ) where
+        H: Fn(Request, SocketAddr) -> F,
+        F: Future<Output = Reply>,
+    {
+        while !self.buf.is_empty()
+            && pipeline.may_start()
+            && *context.shutdown.borrow() == ShutdownPhase::Serving
+        {
+            let limits = (context.limits)();
+            let Some((head, received)) = self.next_ahead(limits, &context.may_run_ahead) else {
+                return;
+            };
+            pipeline.push(start(context, peer, head, received, limits));
+        }
+    }
+
     /// Reads and drops the rest of a request's body, after which the next request follows.
     /// False if the connection must be closed.
     async fn discard_rest(&mut self, incoming: &mut IncomingBody) -> bool {
@@ -345,10 +474,8 @@
                 Discarded::Failed => return false,
                 Discarded::Incomplete => {}
             }
-            self.buf.reserve(BODY_READ_BYTES);
-            let reading = self.stream.read_buf(&mut self.buf);
-            let read = tokio::time::timeout_at(deadline.into(), reading).await;
-            if !matches!(read, Ok(Ok(count)) if count > 0) {
+            let reading = self.read(BODY_READ_BYTES);
+            if tokio::time::timeout_at(deadline.into(), reading).await != Ok(true) {
                 return false;
             }
         }
@@ -369,8 +496,7 @@
         let drain = async {
             loop {
                 self.buf.clear();
-                self.buf.reserve(READ_BYTES);
-                if !matches!(self.stream.read_buf(&mut self.buf).await, Ok(count) if count > 0) {
+                if !self.read(READ_BYTES).await {
                     return;
                 }
             }
--- a/src/http1/tests.rs
+++ b/src/http1/tests.rs
@@ -1,6 +1,7 @@
 mod body;
 mod client;
 mod endless;
+mod pipeline;
 mod server;
 
 use std::fmt::Write;
--- a/src/http1/tests/server.rs
+++ b/src/http1/tests/server.rs
@@ -38,6 +38,7 @@
             }
         },
         limits: Box::new(move || limits),
+        may_run_ahead: Box::new(|_, _| false),
         body_memory: memory(),
         shutdown,
     });
@@ -163,6 +164,7 @@
             }
         },
         limits: Box::new(limits),
+        may_run_ahead: Box::new(|_, _| false),
         body_memory: memory(),
         shutdown,
     };
@@ -358,6 +360,7 @@
             max_body_bytes: LENGTH,
             ..limits()
         }),
+        may_run_ahead: Box::new(|_, _| false),
         body_memory: memory,
         shutdown,
     };
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -4,6 +4,7 @@
 mod entry_crashes;
 mod entry_leaving;
 mod entry_limits;
+mod entry_pipelining;
 mod entry_restore;
 mod entry_silence;
 mod entry_uploads;
