Count, log and show the requests of each account

Nothing told operators which account a request was of. Requests, answers and refusals are counted by account: the metrics name the 20 with the most and sum the others, and `/dump` has the 200 with the most, with priority, limit and number of keys. A configuration whose `api_keys` are no list of texts repeated them in its error, which is logged and dumped; it no longer does. An account's name with a control character, which would end its header, makes the configuration invalid.

The stand-in target records the account header and whether an authorization header arrived, and configurations may have accounts.

--- a/src/account/mod.rs
+++ b/src/account/mod.rs
@@ -4,9 +4,11 @@
 
 mod key;
 mod table;
+mod usage;
 
 pub use self::key::{KeyDigest, KeyProblem};
 pub use self::table::AccountTable;
+pub use self::usage::{AccountCounts, AccountUsage};
 use crate::macros::data;
 use crate::names::CallerName;
 
--- a/src/entry/endpoints.rs
+++ b/src/entry/endpoints.rs
@@ -1,10 +1,12 @@
 //! HTTP endpoints for readiness, the directory, metrics and the state dump.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::HeaderValue;
 
+use crate::account::Account;
 use crate::entry::model::UnknownKind;
 use crate::entry::shared::Shared;
 use crate::entry::state::State;
@@ -15,6 +17,8 @@
 const METRICS_PATH: &str = "/metrics";
 /// Path of the state dump.
 const DUMP_PATH: &str = "/dump";
+/// Accounts that the dump contains.
+const MAX_DUMPED_ACCOUNTS: usize = 200;
 
 /// Responds to a readiness check.
 pub(crate) fn serve_readiness(shared: &Arc<Shared>, req: &Request) -> Reply {
@@ -52,8 +56,11 @@
             shared.metrics.unknown_kinds.set(gauge(unknown_kinds));
             let body_bytes = shared.body_memory.total();
             shared.metrics.body_bytes.set(gauge(body_bytes));
-            let quarantine = shared.state().quarantine.size();
             let metrics = &shared.metrics;
+            let state = shared.state();
+            let quarantine = state.quarantine.size();
+            metrics.set_accounts(&state.account_usage);
+            drop(state);
             metrics.quarantine_records.set(gauge(quarantine.records));
             metrics.quarantine_unsent.set(gauge(quarantine.unsent));
             Reply {
@@ -118,11 +125,36 @@
         "rejected_records": state.rejected.values().collect::<Vec<_>>(),
         "quarantine": state.quarantine.size(),
         "suspects": state.quarantine.cases(now).collect::<Vec<_>>(),
+        "accounts": accounts(state),
         "targets": targets,
         "peers": peers,
     })
 }
 
+/// The accounts with the most requests, without their keys.
+fn accounts(state: &State) -> serde_json::Value {
+    let Some(table) = &state.accounts else {
+        return serde_json::Value::Null;
+    };
+    let counts = |account: &Account| state.account_usage.get(&account.name);
+    let mut accounts: Vec<&Arc<Account>> = table.accounts().iter().collect();
+    accounts.sort_by_cached_key(|account| Reverse(counts(account).requests));
+    accounts.truncate(MAX_DUMPED_ACCOUNTS);
+    let busiest: Vec<_> = accounts
+        .into_iter()
+        .map(|account| {
+            serde_json::json!({
+                "name": account.name,
+                "priority": account.priority,
+                "limit": account.limit,
+                "keys": account.keys.len(),
+                "counts": counts(account),
+            })
+        })
+        .collect();
+    serde_json::json!({ "total": table.accounts().len(), "busiest": busiest })
+}
+
 fn path(req: &Request) -> &str {
     req.target.split('?').next().unwrap_or_default()
 }
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -4,15 +4,20 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
+use crate::account::{AccountCounts, AccountUsage};
+
 /// Upper bounds of the latency buckets, in seconds; around the usual objectives.
 const LATENCY_BUCKETS: [f64; 12] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 2.0, 5.0,
 ];
 
+/// Accounts with counts of their own, so that the metrics stay small with many accounts.
+const NAMED_ACCOUNTS: usize = 20;
+
 /// The metrics of one instance.
 #[derive(Debug)]
 pub(crate) struct EntryMetrics {
@@ -21,6 +26,8 @@
     request_seconds: Histogram,
     target_seconds: Histogram,
     dropped_lines: IntGauge,
+    account_requests: IntGaugeVec,
+    other_account_requests: IntGaugeVec,
     /// Retries that used the retry budget, without hedges.
     pub retries: IntCounter,
     /// Hedges sent beside a slow attempt.
@@ -80,12 +87,27 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok::<_, prometheus::Error>(gauges)
+        };
         let dropped_lines = gauge("entry_log_dropped", "Log lines dropped so far.")?;
         Ok(Self {
             dropped_lines,
             requests: by_label("entry_requests_total", "Requests by outcome.", "outcome")?,
             request_seconds: latency("entry_request_seconds", "Duration of requests.")?,
             target_seconds: latency("entry_target_seconds", "Duration of answered attempts.")?,
+            account_requests: gauges(
+                "entry_account_requests",
+                "Requests of the accounts with the most.",
+                &["account", "result"],
+            )?,
+            other_account_requests: gauges(
+                "entry_other_account_requests",
+                "Requests of all other accounts together.",
+                &["result"],
+            )?,
             retries: counter("entry_repeats_total", "Retries that used the retry budget.")?,
             hedges: counter("entry_hedges_total", "Hedges sent beside a slow attempt.")?,
             connects: counter("entry_connects_total", "Connections opened to targets.")?,
@@ -137,6 +159,22 @@
         self.target_seconds.observe(took.as_secs_f64());
     }
 
+    /// Replaces the counts by account.
+    pub(crate) fn set_accounts(&self, usage: &AccountUsage) {
+        let (named, others) = usage.busiest(NAMED_ACCOUNTS);
+        self.account_requests.reset();
+        for (name, counts) in named {
+            for (result, count) in by_result(counts) {
+                let labels = [name.as_str(), result];
+                self.account_requests.with_label_values(&labels).set(count);
+            }
+        }
+        for (result, count) in by_result(others) {
+            let gauge = self.other_account_requests.with_label_values(&[result]);
+            gauge.set(count);
+        }
+    }
+
     /// Encodes the metrics in the text format.
     pub(crate) fn encode(&self) -> Vec<u8> {
         let mut buf = Vec::new();
@@ -149,3 +187,12 @@
         buf
     }
 }
+
+fn by_result(counts: AccountCounts) -> [(&'static str, i64); 3] {
+    [
+        ("all", counts.requests),
+        ("answered", counts.answered),
+        ("refused", counts.refused),
+    ]
+    .map(|(result, count)| (result, i64::try_from(count).unwrap_or(i64::MAX)))
+}
--- a/src/entry/request/forward.rs
+++ b/src/entry/request/forward.rs
@@ -14,13 +14,13 @@
 use futures_util::stream::FuturesUnordered;
 
 use self::queue_place::QueuePlace;
-use crate::account::Account;
+use crate::account::{Account, AccountCounts};
 use crate::entry::model::{RetrySafety, Route};
 use crate::entry::request::attempt::{AttemptPlan, CompletedAttempt, OutboundRequest};
 use crate::entry::request::fingerprint::RequestFingerprints;
 use crate::entry::request::hedge::{self, Progress};
 use crate::entry::request::outcome::{
-    DEFAULT_RETRY_AFTER, Outcome, RETRY_AFTER_ELSEWHERE, Refusal, reply,
+    DEFAULT_RETRY_AFTER, Outcome, RETRY_AFTER_ELSEWHERE, Refusal, implies_not_run, reply,
 };
 use crate::entry::request::retry::{self, AttemptHistory, AttemptOutcome, NextStep};
 use crate::entry::request::upload::{self, UploadSettings};
@@ -29,7 +29,7 @@
 use crate::entry::target::selection::{ChosenTarget, NoTarget};
 use crate::http1::client::Response;
 use crate::http1::server::{Reply, Request};
-use crate::names::{ServiceName, TargetId};
+use crate::names::{CallerName, ServiceName, TargetId};
 use crate::platform::prepared::wire;
 use crate::units::Time;
 
@@ -48,8 +48,10 @@
     let meta = wire::request_meta(&req.headers);
     let id: Arc<str> = meta.id.as_deref().unwrap_or_default().into();
     let started = req.received;
+    let mut account = None;
     let (outcome, reply) = match shared.admit(&req) {
         Ok(admitted) => {
+            account.clone_from(&admitted.account);
             let left = meta.deadline.unwrap_or(admitted.route.timeout);
             let timeout = left.min(admitted.route.timeout);
             let identity = RequestIdentity::of(&req);
@@ -81,10 +83,20 @@
     shared
         .metrics
         .record_request(&outcome.to_string(), started.elapsed());
+    let account = account.as_ref().map(|account| &account.name);
+    if let Some(account) = account {
+        let counts = AccountCounts {
+            requests: 0,
+            answered: (outcome == Outcome::Answered).into(),
+            refused: implies_not_run(reply.status).into(),
+        };
+        shared.state().account_usage.add(account, counts);
+    }
     if !matches!(outcome, Outcome::Answered) {
         tracing::info!(
             request = &*id,
             %outcome,
+            account = account.map(CallerName::as_str),
             status = reply.status,
             version = shared.state().status.version,
             took_ms = millis(started.elapsed()),
@@ -116,6 +128,12 @@
         let priority = account.and_then(|account| account.priority);
         priority.unwrap_or(self.route.priority)
     }
+
+    /// Name of the account, for the log.
+    fn account_name(&self) -> Option<&str> {
+        let account = self.account.as_ref();
+        account.map(|account| account.name.as_str())
+    }
 }
 
 type Running<'a> = FuturesUnordered<Pin<Box<dyn Future<Output = CompletedAttempt> + Send + 'a>>>;
@@ -425,6 +443,13 @@
         let account = state.authenticate(now, &route, &req.headers)?;
         let service = state.next_service(&route).ok_or(Outcome::NoRoute)?;
         state.record_request(now, &service);
+        if let Some(account) = &account {
+            let counts = AccountCounts {
+                requests: 1,
+                ..AccountCounts::default()
+            };
+            state.account_usage.add(&account.name, counts);
+        }
         Ok(AdmittedRequest {
             route,
             service,
--- a/src/entry/request/forward/ending.rs
+++ b/src/entry/request/forward/ending.rs
@@ -21,6 +21,7 @@
         tracing::info!(
             request = &*self.outbound.id,
             route = &*self.admitted.route.name,
+            account = self.admitted.account_name(),
             version = self.admitted.version,
             service = %self.admitted.service,
             target = %completed.choice.id,
@@ -66,6 +67,7 @@
         tracing::info!(
             request = &*self.outbound.id,
             route = &*self.admitted.route.name,
+            account = self.admitted.account_name(),
             version = self.admitted.version,
             %service,
             reason = %refusal.reason,
@@ -114,6 +116,7 @@
         tracing::info!(
             request = &*self.outbound.id,
             route = &*self.admitted.route.name,
+            account = self.admitted.account_name(),
             service = %self.admitted.service,
             target = self.tried.last().map(TargetId::as_str),
             slowness,
@@ -132,6 +135,7 @@
         tracing::info!(
             request = &*self.outbound.id,
             route = &*self.admitted.route.name,
+            account = self.admitted.account_name(),
             %cause,
             received_bytes = arrival.received,
             declared_bytes = arrival.declared,
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -17,7 +17,7 @@
 
 use self::heartbeats::OwnReport;
 pub(crate) use self::probes::PathCheck;
-use crate::account::AccountTable;
+use crate::account::{AccountTable, AccountUsage};
 use crate::dispatch::quarantine::{Quarantine, QuarantineSettings, QuarantineStatus};
 use crate::entry::fleet::directory::{self, DirectoryEntry};
 use crate::entry::fleet::members::{InstanceStatus, Members};
@@ -63,6 +63,8 @@
     pub routes: RouteTable,
     /// Client accounts of the configuration in force; `None` if they are unknown.
     pub accounts: Option<AccountTable>,
+    /// Requests of the accounts since the start.
+    pub account_usage: AccountUsage,
     /// Local view of every registered target.
     pub targets: TargetTable,
     /// The other instances, live or not.
@@ -133,6 +135,7 @@
             replica: Replica::default(),
             routes: RouteTable::default(),
             accounts: None,
+            account_usage: AccountUsage::default(),
             targets: TargetTable::default(),
             members,
             quarantine,
--- a/src/entry/state/changes.rs
+++ b/src/entry/state/changes.rs
@@ -61,7 +61,9 @@
         match change {
             Applied::Configuration(configuration) => {
                 self.routes = RouteTable::new(configuration);
-                self.accounts = configuration.accounts.as_deref().map(AccountTable::new);
+                let accounts = configuration.accounts.as_deref();
+                self.accounts = accounts.map(AccountTable::new);
+                self.account_usage.retain(accounts.unwrap_or_default());
                 self.status.version = configuration.version;
                 self.status.ready |= !self.status.leaving;
             }
--- a/src/platform/prepared/record.rs
+++ b/src/platform/prepared/record.rs
@@ -328,8 +328,9 @@
 #[derive(Deserialize)]
 struct AccountValue {
     name: Box<str>,
+    /// Checked apart, since an error of the decoder would repeat a key.
     #[serde(default)]
-    api_keys: Vec<Box<str>>,
+    api_keys: Value,
     #[serde(default)]
     priority: Option<u32>,
     #[serde(default)]
@@ -393,10 +394,15 @@
                 value.name
             ));
         }
-        if !value
-            .api_keys
+        if value.name.chars().any(char::is_control) {
+            return Err(format!(
+                "tenant {:?}: its name, which is sent in a header, has a control character",
+                value.name
+            ));
+        }
+        if !keys_of(value)?
             .iter()
-            .all(|key| !key.is_empty() && keys.insert(key.clone()))
+            .all(|key| !key.is_empty() && keys.insert(*key))
         {
             return Err(format!(
                 "tenant {}: a key is empty or used twice",
@@ -407,6 +413,19 @@
     values.iter().map(convert_account).collect()
 }
 
+/// The keys of an account.
+///
+/// # Errors
+/// They are not a list of texts; the error does not contain them.
+fn keys_of(value: &AccountValue) -> Result<Vec<&str>, String> {
+    let keys = match &value.api_keys {
+        Value::Null => Some(Vec::new()),
+        Value::Array(keys) => keys.iter().map(Value::as_str).collect(),
+        _ => None,
+    };
+    keys.ok_or_else(|| format!("tenant {}: api_keys must be a list of texts", value.name))
+}
+
 fn convert_account(wire: &AccountValue) -> Result<Account, String> {
     let rate = wire.rate_per_s.unwrap_or_default();
     let burst = wire.burst.unwrap_or_default();
@@ -417,7 +436,7 @@
             wire.name
         ));
     }
-    let keys = wire.api_keys.iter();
+    let keys = keys_of(wire)?.into_iter();
     Ok(Account {
         name: (&*wire.name).into(),
         keys: keys.map(|key| KeyDigest::of(key.as_bytes())).collect(),
--- a/src/platform/prepared/record/tests.rs
+++ b/src/platform/prepared/record/tests.rs
@@ -181,11 +181,16 @@
         r#"["a", ["k"], 0, 1, -1]"#,
         r#"["a", ["k"], 0, "many", 1]"#,
         r#"["a", ["k"], -1, 1, 1]"#,
-        r#"["a", "k", 0, 1, 1]"#,
+        r#"["a\n", ["k"], 0, 1, 1]"#,
+        r#"["a", "k-secret", 0, 1, 1]"#,
+        r#"["a", {"k-secret": "k-secret"}, 0, 1, 1]"#,
+        r#"["a", ["k", 7, "k-secret"], 0, 1, 1]"#,
+        r#"["a", ["k-secret", "k-secret"], 0, 1, 1]"#,
     ];
     for rows in invalid {
         let decoded = decode("op/config", with_accounts(rows).as_bytes());
-        assert!(decoded.is_err(), "{rows} {decoded:?}");
+        let err = decoded.unwrap_err();
+        assert!(!err.contains("k-secret"), "{rows} {err}");
     }
 }
 
--- a/standin/src/prepared/settings.rs
+++ b/standin/src/prepared/settings.rs
@@ -26,12 +26,57 @@
     )
 }
 
+/// A client account with its keys.
+#[derive(Debug, Clone, Default)]
+pub struct AccountRow {
+    /// Name of the account.
+    pub name: String,
+    /// Its keys.
+    pub keys: Vec<String>,
+    /// Priority of its requests; `None` if that of their route holds.
+    pub priority: Option<u32>,
+    /// Limit in requests a second; 0 for none.
+    pub rate: f64,
+    /// Requests in addition that may come at once.
+    pub burst: f64,
+}
+
+/// Returns the configuration of [`configuration`] with these accounts; routes under
+/// `/public/` need no key.
+#[must_use]
+pub fn configuration_with_accounts(
+    version: u64,
+    prefixes: &[&str],
+    timeout_ms: u64,
+    accounts: &[AccountRow],
+) -> String {
+    let mut value = configuration_value(version, prefixes, timeout_ms);
+    let rows = accounts.iter().map(|account| {
+        serde_json::json!([
+            account.name,
+            account.keys,
+            account.priority,
+            account.rate,
+            account.burst
+        ])
+    });
+    value["tenants"] = serde_json::json!({
+        "columns": ["name", "api_keys", "priority", "rate_per_s", "burst"],
+        "rows": rows.collect::<Vec<_>>(),
+    });
+    value.to_string()
+}
+
 /// Returns a configuration with one service `s` and a route for each path prefix.
 ///
 /// Requests under `/once/` are not idempotent, those under `/upload/` are uploads; all
 /// others are safe to retry.
 #[must_use]
 pub fn configuration(version: u64, prefixes: &[&str], timeout_ms: u64) -> String {
+    configuration_value(version, prefixes, timeout_ms).to_string()
+}
+
+fn configuration_value(version: u64, prefixes: &[&str], timeout_ms: u64) -> serde_json::Value {
     let rows: Vec<serde_json::Value> = prefixes
         .iter()
         .map(|prefix| {
@@ -50,7 +95,8 @@
                 1,
                 null,
                 2,
-                "s"
+                "s",
+                *prefix == "/public/"
             ])
         })
         .collect();
@@ -58,7 +104,7 @@
         "version": format!("r{version}"),
         "routes": {
             "columns": ["name", "host", "prefix", "type", "timeout_ms", "target_latency_ms",
-                "priority", "traffic_split", "max_attempts", "service"],
+                "priority", "traffic_split", "max_attempts", "service", "public"],
             "rows": rows,
         },
         "services": {
@@ -66,5 +112,4 @@
             "rows": [["s", "/health", 220, 3.0, 21.0]],
         },
     })
-    .to_string()
 }
--- a/standin/src/prepared/target.rs
+++ b/standin/src/prepared/target.rs
@@ -72,6 +72,10 @@
     pub runs: IndexMap<String, u32>,
     /// Number of arrivals of each request, whether it was run or not.
     pub arrivals: IndexMap<String, u32>,
+    /// Values of the account header of each request that arrived, in order of arrival.
+    pub accounts: IndexMap<String, Vec<String>>,
+    /// Requests that arrived with an `Authorization` header.
+    pub with_authorization: Vec<String>,
     /// Number of requests run to completion.
     pub finished: u32,
     /// Value of `x-deadline-ms` of the last request, in milliseconds; 0 if it had none.
@@ -237,6 +241,16 @@
     let id = header("x-request-id");
     cx.record.change(|record| {
         *record.arrivals.entry(id.clone()).or_default() += 1;
+        let accounts = req.headers().get_all("x-tenant").iter();
+        let accounts = accounts.map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned());
+        record
+            .accounts
+            .entry(id.clone())
+            .or_default()
+            .extend(accounts);
+        if req.headers().contains_key("authorization") {
+            record.with_authorization.push(id.clone());
+        }
         record.last_deadline_ms = header("x-deadline-ms").parse().unwrap_or(0);
     });
     let expected = header("x-expected-instance");
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -1,5 +1,6 @@
 //! Entry instances as separate processes, with stand-ins of the prepared platform.
 
+mod entry_accounts;
 mod entry_cluster;
 mod entry_crashes;
 mod entry_leaving;
