Let waiting requests go by account in fair order

When a service was full, requests waited by priority and due time. An account that sent many times its usual filled the queue, and every other one waited behind it or was refused at once, as the expected wait counted all of it. Within a priority, accounts now take turns by what each has had (start-time fair queueing), and an account's own requests go by due time. The expected wait of a newcomer counts only what would go before it. Capacity is never kept free for an account, what is remembered is bounded, and requests without an account share one flow, so that without accounts the order is as before.

--- a/src/account/mod.rs
+++ b/src/account/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! See `docs/design/client-accounts.md`.
 
+mod fair;
 mod key;
 mod table;
 mod usage;
 
+pub use self::fair::FairShares;
 pub use self::key::{KeyDigest, KeyProblem};
 pub use self::table::AccountTable;
 pub use self::usage::{AccountCounts, AccountUsage};
--- a/src/entry/request/forward.rs
+++ b/src/entry/request/forward.rs
@@ -24,6 +24,7 @@
 };
 use crate::entry::request::retry::{self, AttemptHistory, AttemptOutcome, NextStep};
 use crate::entry::request::upload::{self, UploadSettings};
+use crate::entry::request::wait_queue::Flow;
 use crate::entry::shared::Shared;
 use crate::entry::target::placement::{self, Requirements};
 use crate::entry::target::selection::{ChosenTarget, NoTarget};
@@ -123,12 +124,20 @@
 
 impl AdmittedRequest {
     /// Priority of the account, or else of the route; 0 is the most urgent.
-    pub(crate) fn priority(&self) -> u32 {
+    fn priority(&self) -> u32 {
         let account = self.account.as_ref();
         let priority = account.and_then(|account| account.priority);
         priority.unwrap_or(self.route.priority)
     }
 
+    /// Whose requests it takes turns with while it waits for capacity.
+    fn flow(&self) -> Flow {
+        Flow {
+            priority: self.priority(),
+            account: self.account.as_ref().map(|account| account.name.clone()),
+        }
+    }
+
     /// Name of the account, for the log.
     fn account_name(&self) -> Option<&str> {
         let account = self.account.as_ref();
--- a/src/entry/request/forward/queue_place.rs
+++ b/src/entry/request/forward/queue_place.rs
@@ -26,18 +26,23 @@
             return Err(NoTarget::Blocked);
         }
         let service = &call.admitted.service;
-        let priority = call.admitted.priority();
+        let flow = call.admitted.flow();
         // A request that left its target after a check keeps its turn.
         let has_turn = call.history.declined > 0 && self.ticket.is_none();
         let may_proceed = has_turn
             || state
                 .wait_queues
                 .get(service)
-                .is_none_or(|queue| queue.may_proceed(self.ticket.as_ref(), priority));
+                .is_none_or(|queue| queue.may_proceed(self.ticket.as_ref(), &flow));
         if !may_proceed {
             return Err(NoTarget::NoCapacity);
         }
-        state.select_target(now, service, &requirements, &call.tried)
+        let choice = state.select_target(now, service, &requirements, &call.tried)?;
+        if !has_turn {
+            let queue = state.wait_queues.entry(service.clone()).or_default();
+            queue.record_sent(&flow, requirements.service_time);
+        }
+        Ok(choice)
     }
 
     /// Joins the queue, or refuses the request with a time to retry after if it can no
@@ -59,16 +64,17 @@
             .wait_queues
             .entry(call.admitted.service.clone())
             .or_default();
-        let priority = call.admitted.priority();
-        let wait = expected_wait(queue.ahead_of(priority), slots, service_time);
+        let flow = call.admitted.flow();
+        let wait = expected_wait(queue.ahead_of(&flow), slots, service_time);
         if wait + service_time > left {
             return Err(Refusal::new(NoTarget::NoCapacity, wait));
         }
         let due = call.shared.now().after(left);
-        self.ticket = Some(queue.enqueue(priority, due));
+        self.ticket = Some(queue.enqueue(flow, due, service_time));
         tracing::info!(
             request = &*call.outbound.id,
             service = %call.admitted.service,
+            account = call.admitted.account_name(),
             expected_ms = millis(wait),
             "request queued"
         );
@@ -78,7 +84,7 @@
 
 impl Drop for QueuePlace<'_, '_> {
     fn drop(&mut self) {
-        let Some(ticket) = self.ticket else {
+        let Some(ticket) = self.ticket.take() else {
             return;
         };
         let mut state = self.call.shared.state();
--- a/src/entry/request/forward/tests.rs
+++ b/src/entry/request/forward/tests.rs
@@ -59,7 +59,11 @@
     let is_queued = || {
         let state = shared.state();
         let queue = state.wait_queues.get(&ServiceName::from("s"));
-        queue.is_some_and(|queue| queue.ahead_of(u32::MAX) > 0)
+        let later = Flow {
+            priority: u32::MAX,
+            account: None,
+        };
+        queue.is_some_and(|queue| queue.ahead_of(&later) > 0)
     };
     wait_until(is_queued).await;
     block(&shared);
