Let the soak use keys of client accounts

Its calls have keys of three accounts: one with a lasting key, one whose caller makes no pauses, and one with a new key in each version, whose withdrawn keys are tried too. Each call claims to be of another account. Checked are the name that targets are told, that no key reaches them, that no key of all versions in force gets 401, and that nothing runs with a key once a version without it is in force everywhere; after the calm, withdrawn keys get 401. Each check was fed a trace that breaks it.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -12,7 +12,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::check::{Call, CallOutcome};
+use crate::check::{Call, CallKey, CallOutcome};
+use crate::cluster::{self, HOT_ACCOUNT, ROTATING_ACCOUNT, STEADY_ACCOUNT};
 
 /// Timeout of connecting, and of a whole request to a directory or dump endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -27,6 +28,10 @@
 const MAX_UPLOAD_BYTES: usize = 300_000;
 /// Bytes of an upload that are written at once.
 const UPLOAD_PIECE_BYTES: usize = 20_000;
+/// Caller that makes no pauses.
+const HOT_CALLER: usize = 0;
+/// Account that every caller claims to be.
+const OTHER_NAME: &str = "other";
 /// Mean number of calls on one connection before a new one is opened.
 const MEAN_CALLS_PER_CONNECTION: u32 = 30;
 
@@ -37,6 +42,8 @@
     pub start: Instant,
     /// Addresses of the instances.
     pub instances: Vec<IpAddr>,
+    /// Version of the configuration that was written last.
+    pub version: Shared<u64>,
     /// Calls that have ended.
     pub calls: Shared<Vec<Call>>,
     /// Set to make the callers return.
@@ -56,6 +63,7 @@
         }
         let kind = CallKind::draw(&mut rng);
         let id = format!("{index}-{count}");
+        let key = choose_key(index, count, cx.version.get());
         let sent = cx.start.elapsed();
         let connected = match open.take() {
             Some(open) => Ok(open),
@@ -63,7 +71,7 @@
         };
         let (instance, outcome) = match connected {
             Ok((instance, mut stream)) => {
-                let (outcome, keep) = exchange(&mut stream, &id, kind, &mut rng).await;
+                let (outcome, keep) = exchange(&mut stream, &id, &key, kind, &mut rng).await;
                 if keep {
                     open = Some((instance, stream));
                 }
@@ -73,6 +81,7 @@
         };
         let call = Call {
             id,
+            key,
             at_most_once: kind != CallKind::Safe,
             instance,
             sent,
@@ -80,7 +89,21 @@
             outcome,
         };
         cx.calls.change(|calls| calls.push(call));
-        tokio::time::sleep(rng.random_range(Duration::ZERO..MAX_PAUSE)).await;
+        let pause = rng.random_range(Duration::ZERO..MAX_PAUSE);
+        if index != HOT_CALLER {
+            tokio::time::sleep(pause).await;
+        }
+    }
+}
+
+/// The key for a call: mostly one that every version has, and of the account whose keys
+/// change either the present or a withdrawn one.
+fn choose_key(caller: usize, count: u32, version: u64) -> CallKey {
+    match (caller, count % 10) {
+        (HOT_CALLER, _) => cluster::lasting_key(HOT_ACCOUNT),
+        (_, 0..=5) => cluster::lasting_key(STEADY_ACCOUNT),
+        (_, 6..=8) => cluster::rotating_key(ROTATING_ACCOUNT, version),
+        _ => cluster::rotating_key(ROTATING_ACCOUNT, version.saturating_sub(2)),
     }
 }
 
@@ -159,6 +182,7 @@
 async fn exchange(
     stream: &mut TcpStream,
     id: &str,
+    key: &CallKey,
     kind: CallKind,
     rng: &mut StdRng,
 ) -> (CallOutcome, bool) {
@@ -171,7 +195,9 @@
     let method = if body.is_empty() { "GET" } else { "POST" };
     let head = format!(
         "{method} /{path}/{id}/ HTTP/1.1\r\nhost: x.example\r\nx-request-id: {id}\r\n\
-         x-deadline-ms: {deadline}\r\ncontent-length: {}\r\n\r\n",
+         x-deadline-ms: {deadline}\r\nauthorization: Bearer {}\r\nx-tenant: {OTHER_NAME}\r\n\
+         content-length: {}\r\n\r\n",
+        key.text,
         body.len()
     );
     let sending = async {
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -1,5 +1,7 @@
 //! Checks of the guarantees against the observations of callers and targets.
 
+mod keys;
+
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -26,11 +28,26 @@
     NotConnected,
 }
 
+/// Key of a client account that a call had.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallKey {
+    /// Name of the account.
+    pub account: &'static str,
+    /// The key.
+    pub text: String,
+    /// First version of the configuration with the key.
+    pub first: u64,
+    /// Last version with the key.
+    pub last: u64,
+}
+
 /// One call as the caller observed it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Call {
     /// Identifier of the request.
     pub id: String,
+    /// Key that it had.
+    pub key: CallKey,
     /// Whether the request must not run more than once.
     pub at_most_once: bool,
     /// Instance that the call was sent to.
@@ -61,6 +78,8 @@
     pub instance: IpAddr,
     /// Ordinal of the instance's process; a new process may report an older version.
     pub process: usize,
+    /// Time of the report, since the start of the callers.
+    pub at: Duration,
     /// Version of the configuration in force.
     pub version: u64,
 }
@@ -74,6 +93,14 @@
     pub runs: IndexMap<String, u32>,
     /// Number of arrivals of each request, over all targets.
     pub arrivals: IndexMap<String, u32>,
+    /// Names of accounts that targets were told, by request.
+    pub accounts: IndexMap<String, Vec<String>>,
+    /// Requests that arrived at a target with an `Authorization` header.
+    pub with_authorization: Vec<String>,
+    /// Number of instances.
+    pub instances: usize,
+    /// Versions of the configuration, and when they were written.
+    pub written: Vec<(Duration, u64)>,
     /// Disturbances of instances.
     pub disturbances: Vec<Disturbance>,
     /// Versions in the order in which they were observed.
@@ -101,6 +128,7 @@
         found.extend(wrong_response(observations, call));
         found.extend(lost_by_an_undisturbed_instance(observations, call));
     }
+    found.extend(keys::violations(observations));
     found.extend(version_regressions(observations));
     found.extend(retries_over_budget(observations, budget));
     found
--- a/soak/src/check/tests.rs
+++ b/soak/src/check/tests.rs
@@ -10,6 +10,12 @@
 fn call(outcome: CallOutcome) -> Call {
     Call {
         id: "c".into(),
+        key: CallKey {
+            account: "a",
+            text: "k".into(),
+            first: 0,
+            last: u64::MAX,
+        },
         at_most_once: true,
         instance: INSTANCE,
         sent: Duration::from_secs(5),
@@ -30,6 +36,8 @@
         runs: IndexMap::from([(call.id.clone(), runs)]),
         arrivals: IndexMap::from([(call.id.clone(), runs.max(1))]),
         calls: vec![call],
+        accounts: IndexMap::from([("c".into(), vec!["a".into(); runs.max(1) as usize])]),
+        instances: 1,
         duration: Duration::from_secs(9),
         ..Observations::default()
     }
@@ -92,6 +100,7 @@
     let observed = |process, version| ObservedVersion {
         instance: INSTANCE,
         process,
+        at: Duration::ZERO,
         version,
     };
     observations.versions = vec![
@@ -109,8 +118,89 @@
 fn retries_over_budget_are_a_violation() {
     let mut observations = observations(call(responded(200)), 1);
     observations.calls[0].at_most_once = false;
+    observations.accounts.clear();
     observations.arrivals = IndexMap::from([("c".into(), 2)]);
     assert_eq!(count(&observations), 0);
     observations.arrivals = IndexMap::from([("c".into(), 3)]);
     assert_eq!(count(&observations), 1);
 }
+
+#[test]
+fn a_request_arrives_with_the_name_of_its_account_and_without_its_key() {
+    let right = observations(call(responded(200)), 1);
+    assert_eq!(count(&right), 0);
+    for names in [vec!["b"], vec![], vec!["a", "a"], vec!["a", "b"]] {
+        let mut observations = right.clone();
+        let told = names.iter().map(|name| (*name).to_owned()).collect();
+        observations.accounts = IndexMap::from([("c".into(), told)]);
+        assert_eq!(count(&observations), 1, "{names:?}");
+    }
+    let mut observations = right;
+    observations.with_authorization = vec!["c".into()];
+    assert_eq!(count(&observations), 1);
+}
+
+/// The key is in the versions 3 and 4, and the call was sent at 5 s and ended at 6 s.
+#[test]
+fn keys_are_accepted_and_rejected_by_the_versions_in_force() {
+    let violations = |outcome, runs, seen: u64, written: u64| {
+        let mut observations = observations(call(outcome), runs);
+        observations.calls[0].key.first = 3;
+        observations.calls[0].key.last = 4;
+        observations.versions = vec![ObservedVersion {
+            instance: INSTANCE,
+            process: 0,
+            at: Duration::from_secs(5),
+            version: seen,
+        }];
+        observations.written = [(2, 3), (6, written), (7, 9)]
+            .map(|(at, version)| (Duration::from_secs(at), version))
+            .to_vec();
+        count(&observations)
+    };
+    assert_eq!(
+        violations(responded(401), 0, 3, 4),
+        1,
+        "valid in all versions"
+    );
+    assert_eq!(
+        violations(responded(401), 0, 2, 4),
+        0,
+        "not added everywhere"
+    );
+    assert_eq!(
+        violations(responded(401), 0, 3, 5),
+        0,
+        "withdrawn meanwhile"
+    );
+    assert_eq!(
+        violations(responded(200), 1, 4, 5),
+        0,
+        "not withdrawn everywhere"
+    );
+    assert_eq!(
+        violations(responded(200), 1, 5, 5),
+        1,
+        "withdrawn everywhere"
+    );
+    assert_eq!(violations(responded(401), 0, 5, 5), 0);
+}
+
+#[test]
+fn a_version_is_in_force_everywhere_once_each_instance_has_it() {
+    let mut observations = observations(call(responded(200)), 1);
+    observations.calls[0].key.last = 4;
+    observations.instances = 2;
+    let observed = |last_octet, version| ObservedVersion {
+        instance: IpAddr::from([127, 0, 0, last_octet]),
+        process: 0,
+        at: Duration::from_secs(1),
+        version,
+    };
+    observations.versions = vec![observed(1, 5)];
+    assert_eq!(count(&observations), 0);
+    observations.versions.push(observed(2, 4));
+    assert_eq!(count(&observations), 0);
+    observations.versions.push(observed(2, 5));
+    assert_eq!(count(&observations), 1);
+}
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -8,10 +8,11 @@
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
-use standin::prepared::settings::{configuration, entry_settings};
+use standin::prepared::settings::{AccountRow, configuration_with_accounts, entry_settings};
 use standin::prepared::store::StoreStandin;
 use standin::prepared::target::{Behaviour, TargetStandin};
 
+use crate::check::CallKey;
 use crate::plan::TargetFault;
 use crate::proxy::Proxy;
 
@@ -20,6 +21,13 @@
 /// Processing time of a request.
 const WORK: Duration = Duration::from_millis(10);
 
+/// Account with one key in all versions.
+pub(crate) const STEADY_ACCOUNT: &str = "steady";
+/// Account of the caller that makes no pauses.
+pub(crate) const HOT_ACCOUNT: &str = "hot";
+/// Account with a new key in each version.
+pub(crate) const ROTATING_ACCOUNT: &str = "rotating";
+
 /// Last byte of the next address; the process id in the middle bytes keeps concurrent
 /// runs apart.
 static NEXT_HOST: AtomicU8 = AtomicU8::new(128);
@@ -134,10 +142,22 @@
     }
 
     fn put_configuration(&self) {
-        let text = configuration(
+        let account = |name: &str, keys: &[CallKey]| AccountRow {
+            name: name.into(),
+            keys: keys.iter().map(|key| key.text.clone()).collect(),
+            ..AccountRow::default()
+        };
+        let rotating = [self.version, self.version + 1];
+        let rotating = rotating.map(|number| rotating_key(ROTATING_ACCOUNT, number));
+        let text = configuration_with_accounts(
             self.version,
             &["/safe/", "/once/", "/upload/"],
             ROUTE_TIMEOUT_MS,
+            &[
+                account(STEADY_ACCOUNT, &[lasting_key(STEADY_ACCOUNT)]),
+                account(HOT_ACCOUNT, &[lasting_key(HOT_ACCOUNT)]),
+                account(ROTATING_ACCOUNT, &rotating),
+            ],
         );
         self.store.put("op/config", text.as_bytes());
     }
@@ -183,6 +203,27 @@
     }
 }
 
+/// The key of an account that has it in all versions.
+pub(crate) fn lasting_key(account: &'static str) -> CallKey {
+    CallKey {
+        account,
+        text: format!("{account}-key"),
+        first: 0,
+        last: u64::MAX,
+    }
+}
+
+/// The key of an account that has a new one in each version. It is added one version
+/// early, and withdrawn by the next.
+pub(crate) fn rotating_key(account: &'static str, version: u64) -> CallKey {
+    CallKey {
+        account,
+        text: format!("{account}-key-{version}"),
+        first: version.saturating_sub(1),
+        last: version,
+    }
+}
+
 impl Instance {
     /// Sends a signal to the process if one is running.
     pub(crate) fn signal(&self, signal: Signal) {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -117,6 +117,8 @@
     caller_context: Arc<CallerContext>,
     disturbances: Vec<Disturbance>,
     versions: Vec<ObservedVersion>,
+    /// Versions of the configuration, and when they were written.
+    written: Vec<(Duration, u64)>,
     polls: u32,
     /// Copy of the store that it returns from at the end of a [`Fault::StoreRestored`].
     copy: Option<StoreCopy>,
@@ -128,10 +130,13 @@
         let caller_context = CallerContext {
             start: Instant::now(),
             instances: instances.collect(),
+            version: Shared::default(),
             calls: Shared::default(),
             stop: Shared::default(),
         };
+        caller_context.version.set(cluster.version);
         Self {
+            written: vec![(Duration::ZERO, cluster.version)],
             cluster,
             caller_context: Arc::new(caller_context),
             disturbances: Vec::with_capacity(options.instances),
@@ -199,10 +204,17 @@
             Fault::StoreCompacts => self.cluster.store.compact(),
             Fault::StoreRestored => self.copy = Some(self.cluster.store.copy()),
             Fault::Target(index, fault) => self.cluster.set_target_fault(index, Some(fault)),
-            Fault::ChangeConfiguration => self.cluster.write_configuration(),
+            Fault::ChangeConfiguration => self.write_configuration(),
         }
     }
 
+    fn write_configuration(&mut self) {
+        let at = self.elapsed();
+        self.cluster.write_configuration();
+        self.written.push((at, self.cluster.version));
+        self.caller_context.version.set(self.cluster.version);
+    }
+
     fn end(&mut self, fault: Fault) {
         match fault {
             Fault::Pause(index) => {
@@ -284,6 +296,7 @@
             self.versions.push(ObservedVersion {
                 instance: ip,
                 process,
+                at: self.elapsed(),
                 version,
             });
         }
@@ -306,7 +319,7 @@
             self.end_disturbances(index);
         }
         self.poll_until(self.elapsed() + RECOVERY_TIME).await?;
-        self.cluster.write_configuration();
+        self.write_configuration();
         self.cluster.write_target_record(0, true);
         self.poll_until(self.elapsed() + LEAVE_PROPAGATION_TIME)
             .await?;
@@ -334,7 +347,7 @@
                 .calls
                 .get()
                 .iter()
-                .filter_map(|call| unserved_after_recovery(call, from)),
+                .filter_map(|call| unserved_after_recovery(call, from, self.cluster.version)),
         );
         Ok(found)
     }
@@ -355,6 +368,8 @@
             calls: self.caller_context.calls.get(),
             disturbances: self.disturbances.clone(),
             versions: self.versions.clone(),
+            instances: self.cluster.instances.len(),
+            written: self.written.clone(),
             duration: self.elapsed(),
             ..Observations::default()
         };
@@ -366,15 +381,24 @@
             for (id, count) in record.arrivals {
                 *observations.arrivals.entry(id).or_default() += count;
             }
+            for (id, names) in record.accounts {
+                observations.accounts.entry(id).or_default().extend(names);
+            }
+            observations
+                .with_authorization
+                .extend(record.with_authorization);
         }
         observations
     }
 }
 
-/// Reports a call that was sent after the recovery and did not succeed.
-fn unserved_after_recovery(call: &Call, recovered_at: Duration) -> Option<String> {
-    let served = matches!(call.outcome, CallOutcome::Responded { status: 200, .. });
-    (call.sent >= recovered_at && !served).then(|| {
+/// Reports a call that was sent after the recovery and did not succeed, or had a key that
+/// `version` does not have and was not rejected.
+fn unserved_after_recovery(call: &Call, recovered_at: Duration, version: u64) -> Option<String> {
+    let expected = if call.key.last < version { 401 } else { 200 };
+    let is_expected =
+        matches!(call.outcome, CallOutcome::Responded { status, .. } if status == expected);
+    (call.sent >= recovered_at && !is_expected).then(|| {
         format!(
             "{} ended as {:?} after all faults had ended",
             call.id, call.outcome
