--- a/src/entry/request/outbound.rs
+++ b/src/entry/request/outbound.rs
@@ -5,6 +5,7 @@
 
 use bytes::BytesMut;
 
+use crate::entry::request::forward::AdmittedRequest;
 use crate::http1::request_body::RequestBody;
 use crate::http1::server::Request;
 use crate::http1::write_headers;
@@ -46,9 +47,17 @@
 }
 
 impl OutboundRequest {
-    pub(crate) fn new(req: Request, meta: RequestMeta, route: Arc<str>, deadline: Instant) -> Self {
+    pub(crate) fn new(
+        req: Request,
+        meta: RequestMeta,
+        admitted: &AdmittedRequest,
+        deadline: Instant,
+    ) -> Self {
         let mut headers = req.headers;
         wire::strip_target_headers(&mut headers);
+        if admitted.uses_accounts {
+            wire::strip_account_headers(&mut headers);
+        }
         let has_body = req.chunked || headers.contains_key(http::header::CONTENT_LENGTH);
         let mut head = BytesMut::with_capacity(512);
         head.extend_from_slice(req.method.as_bytes());
@@ -56,9 +65,12 @@
         head.extend_from_slice(req.target.as_bytes());
         head.extend_from_slice(b" HTTP/1.1\r\n");
         write_headers(&mut head, &headers);
+        if let Some(account) = &admitted.account {
+            wire::write_account(&mut head, &account.name);
+        }
         Self {
             id: meta.id.unwrap_or_default().into(),
-            route,
+            route: admitted.route.name.clone(),
             path: logged_path(&req.target),
             started: req.received,
             deadline,
