Count what versions answer, and outline the judge of roll-outs

Cause: the parts around a roll-out's decision need the types of its evidence. The limits of roll-outs move to the module they belong to.

--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::names::ZoneName;
+use crate::rollout::RolloutLimits;
 
 /// Where the instance runs, what it listens on, and the limits it must keep.
 #[derive(Debug, Clone, PartialEq)]
@@ -54,18 +55,6 @@
     pub accounts: Option<AccountSettings>,
 }
 
-/// Limits of roll-outs.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct RolloutLimits {
-    /// Share of a service's requests that a bad version may get, from all instances
-    /// together.
-    pub share: f64,
-    /// Requests that it may get in addition.
-    pub slack: f64,
-    /// Time from a version's 50th bad response until it must get no requests.
-    pub rollback_time: Duration,
-}
-
 /// Limits that hold for the client accounts of all instances together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AccountSettings {
--- a/src/platform/prepared/settings.rs
+++ b/src/platform/prepared/settings.rs
@@ -7,8 +7,9 @@
 use indexmap::IndexMap;
 use serde::Deserialize;
 
-use crate::entry::settings::{AccountSettings, EntrySettings, RolloutLimits};
+use crate::entry::settings::{AccountSettings, EntrySettings};
 use crate::error::Error;
+use crate::rollout::RolloutLimits;
 
 /// Environment variable with the path of the settings file.
 const PATH_VARIABLE: &str = "WAGTAILSADDLE_SETTINGS";
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -3,6 +3,11 @@
 //!
 //! All here is pure; see `docs/design/rollouts.md`.
 
+#[cfg_attr(not(test), expect(dead_code, reason = "not wired yet"))]
+pub mod evidence;
+#[expect(dead_code, reason = "not wired yet")]
+pub mod judge;
+
 use std::time::Duration;
 
 use crate::macros::data;
@@ -44,3 +49,15 @@
         pub ordered_ms: u64,
     }
 }
+
+/// Limits of roll-outs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RolloutLimits {
+    /// Share of a service's requests that a bad version may get, from all instances
+    /// together.
+    pub share: f64,
+    /// Requests that it may get in addition.
+    pub slack: f64,
+    /// Time from a version's 50th bad response until it must get no requests.
+    pub rollback_time: Duration,
+}
