Decide on roll-outs by comparing the versions' responses

Cause: nothing decided how much traffic a new version gets. The totals of all instances are divided into slices of time. In each, the old version's share of bad responses is what the new one would have had at that time, so that a burst or an ill old version isn't held against it. Fisher's exact test over the whole time and the last 3 s, on all routes and on each, for failed and slow responses, with and without the worst target. Slow responses of one target in a short time count as one, since a quarter of the targets may be slow at any moment. A sample's share follows the rate of requests; what it has sent stays within the limits for the requests so far, so that it doesn't matter what comes after.

--- a/src/rollout/evidence.rs
+++ b/src/rollout/evidence.rs
@@ -61,7 +61,7 @@
     pub struct TargetTally {
         /// Hash of the route's name, or [`OTHERS`].
         pub route: u64,
-        /// Hash of the start id of the target's run, or [`OTHERS`].
+        /// Hash of the target's name, which it keeps when it restarts, or [`OTHERS`].
         pub target: u64,
         /// Its responses.
         pub tally: Tally,
@@ -101,6 +101,12 @@
             .saturating_add(self.slow)
             .saturating_add(self.failed)
     }
+
+    /// Share of failed responses.
+    #[must_use]
+    pub fn failed_share(self) -> f64 {
+        f64::from(self.failed) / f64::from(self.total().max(1))
+    }
 }
 
 impl EvidenceReport {
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -5,8 +5,11 @@
 
 #[cfg_attr(not(test), expect(dead_code, reason = "not wired yet"))]
 pub mod evidence;
-#[expect(dead_code, reason = "not wired yet")]
+mod history;
+#[cfg_attr(not(test), expect(dead_code, reason = "not wired yet"))]
 pub mod judge;
+mod schedule;
+mod verdict;
 
 use std::time::Duration;
 
