--- a/src/entry/request/routes.rs
+++ b/src/entry/request/routes.rs
@@ -5,10 +5,7 @@
 use indexmap::IndexMap;
 
 use crate::entry::model::{Configuration, Route, WeightedService};
-
-/// Fractional part of the golden ratio. Its multiples are spread evenly over the unit
-/// interval, so that weights also hold over short sequences.
-const GOLDEN_RATIO_FRACTION: f64 = 0.618_033_988_749_894_8;
+use crate::even_sequence::EvenSequence;
 
 /// The routes of a configuration by host.
 #[derive(Debug, Clone, Default)]
@@ -51,26 +48,24 @@
 }
 
 /// Distributes a route's requests to its services by weight.
-///
-/// A few hundred requests a second are spread over many instances, and each instance
-/// must keep to the weights on its own.
 #[derive(Debug, Clone, Copy)]
 pub struct WeightedSplitter {
-    phase: f64,
+    points: EvenSequence,
 }
 
 impl WeightedSplitter {
     /// Starts at a phase in `0.0..1.0`, drawn at random so that instances differ.
     #[must_use]
     pub fn new(phase: f64) -> Self {
-        Self { phase }
+        Self {
+            points: EvenSequence::new(phase),
+        }
     }
 
     /// The service that gets the next request; `None` without services.
     pub fn next<'a>(&mut self, services: &'a [WeightedService]) -> Option<&'a WeightedService> {
-        self.phase = (self.phase + GOLDEN_RATIO_FRACTION).fract();
         let total: f64 = services.iter().map(|service| service.weight).sum();
-        let mut point = self.phase * total;
+        let mut point = self.points.next() * total;
         for service in services {
             if point < service.weight {
                 return Some(service);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 mod control;
 mod demo;
 mod entry;
+mod even_sequence;
 mod http1;
 mod instance;
 mod macros;
