Gate the requests to a version that an operator rolls out

An order op/rollout/SERVICE had no effect: targets of the ordered version got requests like all others, and no order was answered.

Each instance now draws first attempts for the new version by its share, sends the sample to the same few targets as all others, never sends there before a decision or after a roll-back, and prefers the new version at 100 %. It records what attempts say of both versions, sends that to the three instances that judge, and the first of them writes the decision with the operator's status under one condition. A roll-back is told to all peers until the store has it. Without an order, or on a deployment without roll-outs, nothing is sent and the task sleeps.

The judge still knows its first decision only.

--- a/src/entry/endpoints.rs
+++ b/src/entry/endpoints.rs
@@ -52,6 +52,8 @@
             shared.metrics.unknown_kinds.set(gauge(unknown_kinds));
             let body_bytes = shared.body_memory.total();
             shared.metrics.body_bytes.set(gauge(body_bytes));
+            let running = shared.state().rollouts.running();
+            shared.metrics.rollouts.set(gauge(running));
             let quarantine = shared.state().quarantine.size();
             let metrics = &shared.metrics;
             metrics.quarantine_records.set(gauge(quarantine.records));
@@ -83,6 +85,7 @@
                 "service": view.target.service,
                 "address": view.target.address,
                 "zone": view.target.zone,
+                "version": view.target.version,
                 "leaving": view.target.leaving,
                 "cold": candidate.cold,
                 "limit_per_second": view.limit.per_second(now),
@@ -118,6 +121,7 @@
         "rejected_records": state.rejected.values().collect::<Vec<_>>(),
         "quarantine": state.quarantine.size(),
         "suspects": state.quarantine.cases(now).collect::<Vec<_>>(),
+        "rollouts": state.rollouts.iter().map(|(service, rollout)| rollout.dump(service)).collect::<Vec<_>>(),
         "targets": targets,
         "peers": peers,
     })
--- a/src/entry/fleet/members.rs
+++ b/src/entry/fleet/members.rs
@@ -307,6 +307,25 @@
             .collect()
     }
 
+    /// The live instances in the order in which they decide for all, this one included
+    /// unless it is shutting down: those that watch the store come first.
+    #[must_use]
+    pub fn deciders(&self, now: Time, own: &InstanceStatus) -> Vec<SocketAddr> {
+        let others = self
+            .live(now)
+            .map(|(address, member)| (address, &member.status));
+        let all = others.chain([(self.own, own)]);
+        let staying = all.filter(|(_, status)| !status.leaving);
+        let mut order: Vec<(bool, u64, SocketAddr)> = staying
+            .map(|(address, status)| {
+                let watches = status.store == StoreAccess::Watching;
+                (watches, watch_weight(address), address)
+            })
+            .collect();
+        order.sort_unstable_by(|a, b| b.cmp(a));
+        order.into_iter().map(|(.., address)| address).collect()
+    }
+
     /// Whether this instance comes first among the live ones in the order of watchers.
     #[must_use]
     pub fn is_first_watcher(&self, now: Time) -> bool {
@@ -377,6 +396,12 @@
     hasher.finish()
 }
 
+/// Hash that identifies a route in datagrams.
+#[must_use]
+pub fn route_key(name: &str) -> u64 {
+    hash(&(name, "route"))
+}
+
 /// Hash that identifies one run of a target in datagrams.
 #[must_use]
 pub fn target_key(id: &TargetId, started_ms: u64) -> u64 {
--- a/src/entry/fleet/message.rs
+++ b/src/entry/fleet/message.rs
@@ -15,7 +15,8 @@
 use crate::entry::model::{Change, Record, Target};
 use crate::entry::target::load::Load;
 use crate::entry::target::target_limit::NamedLimit;
-use crate::names::{VersionName, ZoneName};
+use crate::names::{ServiceName, VersionName, ZoneName};
+use crate::rollout::evidence::EvidenceReport;
 
 /// Maximum datagram size: below the usual packet size without headers.
 pub const MAX_DATAGRAM: usize = 1400;
@@ -128,6 +129,11 @@
     /// News of requests suspected of crashing targets. Earlier releases ignore it, and learn
     /// of them from heartbeats.
     Evidence(Vec<Evidence>),
+    /// What the sender has seen of a new version and the old one beside it. Earlier releases
+    /// ignore this and the next.
+    VersionEvidence(EvidenceReport),
+    /// The version of the service gets no requests again.
+    RolledBack(ServiceName, VersionName),
 }
 
 /// A request over TCP.
--- a/src/entry/fleet/peers.rs
+++ b/src/entry/fleet/peers.rs
@@ -101,7 +101,8 @@
     send(shared, socket, &Datagram::DigestRequest, &peers);
 }
 
-fn send(shared: &Shared, socket: &UdpSocket, datagram: &Datagram, peers: &[SocketAddr]) {
+/// Sends a datagram to some peers.
+pub(crate) fn send(shared: &Shared, socket: &UdpSocket, datagram: &Datagram, peers: &[SocketAddr]) {
     if !peers.is_empty() {
         send_encoded(shared, socket, message::encode(datagram), peers);
     }
@@ -158,6 +159,8 @@
         Datagram::Heartbeat(heartbeat) => state.receive_heartbeat(now, from, &heartbeat),
         Datagram::Digest(reports) => state.apply_digest(now, &reports),
         Datagram::Evidence(evidence) => state.receive_evidence(now, from, &evidence),
+        Datagram::VersionEvidence(report) => state.receive_version_evidence(now, &report),
+        Datagram::RolledBack(service, version) => state.receive_roll_back(&service, &version),
         Datagram::DigestRequest => {
             let parts = state.digest(now);
             drop(state);
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -47,6 +47,10 @@
     pub quarantine_records: IntGauge,
     /// Those of which the peers may not know all.
     pub quarantine_unsent: IntGauge,
+    /// Roll-outs that are neither completed nor rolled back.
+    pub rollouts: IntGauge,
+    /// Attempts that a roll-out compares, by the version that ran them.
+    pub rollout_attempts: IntCounterVec,
     /// Calls to the platform's store, by kind.
     pub store_calls: Arc<IntCounterVec>,
 }
@@ -117,6 +121,12 @@
                 "entry_quarantine_unsent",
                 "Of these, those with crashes that peers may not know.",
             )?,
+            rollouts: gauge("entry_rollouts", "Roll-outs that are not finished.")?,
+            rollout_attempts: by_label(
+                "entry_rollout_attempts_total",
+                "Attempts that a roll-out compares, by version.",
+                "version",
+            )?,
             store_calls: Arc::new(by_label(
                 "entry_store_calls_total",
                 "Calls to the store by kind.",
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod model;
 mod reload;
 pub(crate) mod request;
+pub(crate) mod rollout;
 mod run;
 pub(crate) mod settings;
 mod shared;
--- a/src/entry/request/attempt.rs
+++ b/src/entry/request/attempt.rs
@@ -9,6 +9,7 @@
 use crate::entry::request::fingerprint::RequestFingerprints;
 use crate::entry::request::pool::TargetConn;
 use crate::entry::request::retry::AttemptOutcome;
+use crate::entry::rollout::observed::{Conditions, ObservedAttempt};
 use crate::entry::shared::Shared;
 use crate::entry::target::placement::Requirements;
 use crate::entry::target::probe;
@@ -19,6 +20,7 @@
 use crate::http1::write_headers;
 use crate::names::TargetId;
 use crate::platform::prepared::wire::{self, RequestMeta};
+use crate::rollout::evidence::Side;
 
 /// Maximum body of a response, in bytes: some times the largest downloads.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -167,9 +169,16 @@
         run: choice.run,
     };
     let started = Instant::now();
-    let result = exchange(&shared, &outbound, &mut choice, &plan).await;
-    let (outcome, response) =
-        shared.record_result(&outbound, &choice, started, plan.fingerprints, result);
+    let mut observed = None;
+    let result = exchange(&shared, &outbound, &mut choice, &plan, &mut observed).await;
+    let (outcome, response) = shared.record_result(
+        &outbound,
+        &choice,
+        started,
+        plan.fingerprints,
+        result,
+        observed,
+    );
     drop(in_flight);
     if outcome == AttemptOutcome::Lost {
         shared.record_broken_call(&choice, plan.fingerprints);
@@ -195,12 +204,14 @@
     }
 }
 
-async fn exchange(
-    shared: &Shared,
+async fn exchange<'a>(
+    shared: &'a Shared,
     outbound: &OutboundRequest,
     choice: &mut ChosenTarget,
     plan: &AttemptPlan,
+    observed: &mut Option<ObservedAttempt<'a>>,
 ) -> Result<Response, AttemptError> {
+    let started = shared.now();
     let mut conn = acquire(shared, choice, plan.at_most_once).await?;
     if let Some(path) = &plan.check_path {
         conn = check(shared, choice, conn, path, plan).await?;
@@ -210,6 +221,11 @@
         shared.pool.put(shared.now(), &choice.id, conn, None);
         return Err(AttemptError::Blocked);
     }
+    if !shared.state().may_send(shared.now(), choice.run) {
+        shared.pool.put(shared.now(), &choice.id, conn, None);
+        let cause = "a roll-out ended the requests to its version";
+        return Err(AttemptError::Declined(cause.into()));
+    }
     let length = outbound.declared_length();
     let head = outbound.encode_head(&choice.id, length);
     let outgoing = OutgoingRequest {
@@ -227,6 +243,13 @@
             .id
             .is_none_or(|id| *id == *outbound.id)
     };
+    if choice.side.is_some() {
+        let conditions = Conditions {
+            proven_connection: plan.check_path.is_some() || conn.opened >= started,
+            ..Conditions::of(&choice.candidate, plan.requirements.service_time)
+        };
+        *observed = ObservedAttempt::start(shared, &outbound.route, choice.run, conditions);
+    }
     plan.may_run.store(true, Ordering::Relaxed);
     let response = conn.conn.exchange(&outgoing, matches_request).await?;
     let meta = wire::response_meta(response.status, &response.headers);
@@ -370,6 +393,7 @@
         started: Instant,
         fingerprints: RequestFingerprints,
         result: Result<Response, AttemptError>,
+        observed: Option<ObservedAttempt<'_>>,
     ) -> (AttemptOutcome, Option<Response>) {
         let now = self.now();
         let (outcome, response, cause) = classify(&outbound.id, result);
@@ -404,6 +428,7 @@
             let at = &choice.candidate;
             if let Some(percent) = at.slowness_percent
                 && at.occupied < at.slots
+                && choice.side != Some(Side::New)
             {
                 let took = started.elapsed();
                 state
@@ -411,6 +436,12 @@
                     .record(&outbound.route, took, percent / 100.0);
             }
         }
+        let is_elsewhere = response
+            .as_ref()
+            .is_some_and(|response| response.status == 421);
+        if let Some(observed) = observed {
+            observed.finish(&mut state, (!is_elsewhere).then_some(outcome));
+        }
         let reported = state.targets.run_mut(choice.run).map(|view| {
             let age = view.probed_at.map(|at| now.since(at));
             (view.health, age)
--- a/src/entry/request/forward.rs
+++ b/src/entry/request/forward.rs
@@ -287,8 +287,9 @@
             return None;
         }
         let service = &self.admitted.service;
+        let preference = state.preference(now, service, false);
         let choice = state
-            .select_target(now, service, &requirements, &self.tried)
+            .select_target(now, service, &requirements, &self.tried, preference)
             .ok()?;
         let alternative =
             placement::expected_duration(&choice.candidate, service_time, &state.tuning.placement);
--- a/src/entry/request/forward/queue_place.rs
+++ b/src/entry/request/forward/queue_place.rs
@@ -2,6 +2,7 @@
 
 use super::{Call, millis};
 use crate::entry::request::outcome::Refusal;
+use crate::entry::request::retry::AttemptHistory;
 use crate::entry::request::wait_queue::{Ticket, expected_wait};
 use crate::entry::target::selection::{ChosenTarget, NoTarget};
 
@@ -9,15 +10,22 @@
 pub(super) struct QueuePlace<'a, 'b> {
     call: &'a Call<'b>,
     ticket: Option<Ticket>,
+    /// Whether it was drawn whether the request goes to a new version; only the first
+    /// attempt is.
+    is_drawn: bool,
 }
 
 impl<'a, 'b> QueuePlace<'a, 'b> {
     pub(super) fn new(call: &'a Call<'b>) -> Self {
-        Self { call, ticket: None }
+        Self {
+            call,
+            ticket: None,
+            is_drawn: call.history != AttemptHistory::default(),
+        }
     }
 
     /// Selects a target if it is this request's turn.
-    pub(super) fn try_acquire(&self) -> Result<ChosenTarget, NoTarget> {
+    pub(super) fn try_acquire(&mut self) -> Result<ChosenTarget, NoTarget> {
         let call = self.call;
         let now = call.shared.now();
         let requirements = call.requirements(call.service_time());
@@ -37,7 +45,9 @@
         if !may_proceed {
             return Err(NoTarget::NoCapacity);
         }
-        state.select_target(now, service, &requirements, &call.tried)
+        let preference = state.preference(now, service, !self.is_drawn);
+        self.is_drawn = true;
+        state.select_target(now, service, &requirements, &call.tried, preference)
     }
 
     /// Joins the queue, or refuses the request with a time to retry after if it can no
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -14,6 +14,7 @@
 use crate::entry::fleet::{peers, sync};
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::request::forward;
+use crate::entry::rollout::holder;
 use crate::entry::settings::{EntrySettings, Tuning};
 use crate::entry::shared::Shared;
 use crate::entry::state::State;
@@ -78,6 +79,7 @@
     tokio::spawn(peers::pull_changes(shared.clone()));
     tokio::spawn(sync::run(shared.clone()));
     tokio::spawn(sync::register(shared.clone()));
+    tokio::spawn(holder::run(shared.clone(), socket.clone()));
     tokio::spawn(reload::run(shared.clone(), path.to_owned()));
     listen_callers(&shared, listeners.callers, &shutdown, &open_connections);
     listen_endpoint(
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -28,6 +28,7 @@
 use crate::entry::request::routes::{RouteTable, WeightedSplitter};
 use crate::entry::request::service_time::ServiceTimes;
 use crate::entry::request::wait_queue::WaitQueue;
+use crate::entry::rollout::Rollouts;
 use crate::entry::settings::{EntrySettings, Tuning};
 use crate::entry::target::targets::TargetTable;
 use crate::entry::window::{RetryBudget, RetryBudgetRule, slack_share};
@@ -67,6 +68,8 @@
     pub quarantine: Quarantine,
     /// Whether this instance reaches the targets at all.
     pub reach: Reach,
+    /// The roll-outs of services.
+    pub rollouts: Rollouts,
     /// Typical service time of each route.
     pub service_times: ServiceTimes,
     /// Status that this instance sends to its peers.
@@ -130,6 +133,7 @@
             members,
             quarantine,
             reach: Reach::default(),
+            rollouts: Rollouts::default(),
             service_times: ServiceTimes::default(),
             reports: IndexMap::new(),
             unconfirmed: IndexMap::new(),
@@ -269,7 +273,10 @@
 
     /// This instance's equal share of the slots of a service.
     pub(crate) fn slot_share(&mut self, service: &ServiceName) -> f64 {
+        let pool = self.main_pool(service);
+        let gate = self.rollouts.gate(service);
         let (views, _) = self.targets.service_targets(service);
+        let views = views.filter(|view| pool.contains(gate, view));
         let slots: f64 = views.map(|view| f64::from(view.target.slots)).sum();
         slots / self.instances()
     }
--- a/src/entry/state/changes.rs
+++ b/src/entry/state/changes.rs
@@ -20,6 +20,7 @@
             );
             self.remove_outdated(now, &mut delta);
         }
+        let is_first = self.replica.revision() == 0;
         let applied = self.replica.apply(delta);
         let after_outage = now < self.recovering_until;
         let lapsed_services = self.targets.lapsed_services(&applied);
@@ -28,12 +29,18 @@
                 Applied::Removed(_, Record::Target(target)) => {
                     restored || after_outage || lapsed_services.contains(&target.service)
                 }
-                Applied::Removed(_, Record::Evacuation(_)) => restored,
+                Applied::Removed(
+                    _,
+                    Record::Evacuation(_) | Record::RolloutOrder(_) | Record::RolloutDecision(_),
+                ) => restored,
                 _ => false,
             };
             log_change(change, self.replica.revision(), source, lapsed);
             self.apply_change(now, change, lapsed);
         }
+        if !self.rollouts.is_empty() {
+            self.update_rollouts(now, is_first);
+        }
         let position = self.replica.content_position();
         (self.status.era, self.status.revision) = (position.era, position.revision);
         !applied.is_empty()
@@ -70,8 +77,10 @@
                     self.registered.insert(key.clone(), instance.address);
                     self.members.add(now, instance.address, &instance.zone);
                 }
-                Record::Configuration(_) | Record::RolloutOrder(_) | Record::RolloutDecision(_) => {
+                Record::RolloutOrder(_) | Record::RolloutDecision(_) => {
+                    self.put_rollout_record(record);
                 }
+                Record::Configuration(_) => {}
             },
             Applied::Removed(key, record) => match record {
                 Record::Target(target) => self.targets.remove(now, &target.id, lapsed),
@@ -82,8 +91,10 @@
                 Record::Instance(_) => {
                     self.registered.swap_remove(key);
                 }
-                Record::Configuration(_) | Record::RolloutOrder(_) | Record::RolloutDecision(_) => {
+                Record::RolloutOrder(_) | Record::RolloutDecision(_) => {
+                    self.remove_rollout_record(now, record, lapsed);
                 }
+                Record::Configuration(_) => {}
             },
         }
     }
--- a/src/entry/target/selection.rs
+++ b/src/entry/target/selection.rs
@@ -6,12 +6,15 @@
 
 use rand::Rng;
 
+use crate::entry::rollout::Pool;
 use crate::entry::state::State;
 use crate::entry::target::placement::{self, Candidate, Requirements};
 use crate::entry::target::precheck;
 use crate::entry::target::targets::{TargetState, UnusableReason};
 use crate::entry::window::{MEMBER_DISCOVERY_TIME, cold_allowance};
 use crate::names::{ServiceName, TargetId};
+use crate::rollout::evidence::Side;
+use crate::rollout::gate::Preference;
 use crate::units::Time;
 
 /// Fraction of a target's connection limit that all instances use together.
@@ -32,6 +35,8 @@
     pub candidate: Candidate,
     /// Age of its load report; `None` when there was none.
     pub report_age: Option<Duration>,
+    /// Which of the versions that a roll-out compares it has; `None` without one.
+    pub side: Option<Side>,
 }
 
 /// Why no target was selected.
@@ -66,6 +71,8 @@
     without_path: usize,
     evacuated: usize,
     leaving: usize,
+    /// Those that get nothing because of a roll-out.
+    held_back: usize,
 }
 
 /// The targets of a service, classified for one request.
@@ -85,15 +92,44 @@
 
 impl State {
     /// Selects a target of a service that is not in `tried` and meets `requirements`,
-    /// and counts the request as in flight there.
+    /// and counts the request as in flight there. `preference` says which version it may
+    /// have while a roll-out runs.
     pub(crate) fn select_target(
         &mut self,
         now: Time,
         service: &ServiceName,
         requirements: &Requirements,
         tried: &[TargetId],
+        preference: Preference,
     ) -> Result<ChosenTarget, NoTarget> {
-        let mut classified = self.classify_targets(now, service, tried);
+        let mut refusal = None;
+        for (position, side) in preference.sides().iter().enumerate() {
+            let pool = self.pool(service, *side);
+            let is_last = pool == Pool::All || position + 1 == preference.sides().len();
+            match self.select_in(now, service, requirements, tried, &pool, is_last) {
+                Ok(choice) => return Ok(choice),
+                Err(_) if is_last && refusal == Some(NoTarget::NoCapacity) => break,
+                Err(reason) => refusal = Some(reason),
+            }
+            if is_last {
+                break;
+            }
+        }
+        Err(refusal.unwrap_or(NoTarget::NoneUsable))
+    }
+
+    /// Selects one of the targets in `pool`; with `is_last`, also one that appears to be
+    /// down.
+    fn select_in(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        requirements: &Requirements,
+        tried: &[TargetId],
+        pool: &Pool,
+        is_last: bool,
+    ) -> Result<ChosenTarget, NoTarget> {
+        let mut classified = self.classify_targets(now, service, tried, pool);
         let draw = rand::rng().random();
         let best = placement::choose(
             &classified.candidates,
@@ -107,7 +143,7 @@
                 return Err(NoTarget::NoCapacity);
             }
             // Nothing else is left, and a target that appeared to be down may be back.
-            None if !classified.down.is_empty() => {
+            None if is_last && !classified.down.is_empty() => {
                 let index = rand::rng().random_range(0..classified.down.len());
                 classified.down.swap_remove(index)
             }
@@ -166,7 +202,12 @@
             ..view.candidate(now, &own_zone)
         };
         choice.report_age = Some(Duration::ZERO);
-        let others = self.classify_targets(now, &service, tried).candidates;
+        let pool = match choice.side {
+            Some(side) => self.pool(&service, side),
+            None => self.main_pool(&service),
+        };
+        let others = self.classify_targets(now, &service, tried, &pool);
+        let others = others.candidates;
         let (placement, precheck) = (&self.tuning.placement, &self.tuning.precheck);
         precheck::confirms(
             &choice.candidate,
@@ -183,6 +224,7 @@
         now: Time,
         service: &ServiceName,
         tried: &[TargetId],
+        pool: &Pool,
     ) -> ClassifiedTargets {
         let max_connections = self.max_connections(service);
         let cold_limit = self.cold_limit(service);
@@ -198,9 +240,10 @@
             }
         };
         let own_zone = &self.settings.zone;
+        let gate = self.rollouts.gate(service);
         let mut classified = ClassifiedTargets::default();
         let (views, evacuated) = self.targets.service_targets(service);
-        for view in views {
+        for view in views.filter(|view| pool.contains(gate, view)) {
             let unusable_reason = view.unusable_reason(now, evacuated, allowance);
             let is_tried = tried.contains(&view.target.id);
             match unusable_reason {
@@ -228,6 +271,8 @@
         let settings = self.tuning.placement.clone();
         let own_zone = self.settings.zone.clone();
         let mut counts = TargetCounts::default();
+        let pool = self.main_pool(service);
+        let gate = self.rollouts.gate(service);
         let (views, evacuated) = self.targets.service_targets(service);
         for view in views {
             let candidate = view.candidate(now, &own_zone);
@@ -240,6 +285,7 @@
                 Some(UnusableReason::Limited | UnusableReason::LimitedElsewhere) => {
                     counts.limited += 1;
                 }
+                None if !pool.contains(gate, view) => counts.held_back += 1,
                 None if !placement::has_capacity(&candidate, &settings) => counts.full += 1,
                 None => counts.with_room += 1,
             }
@@ -249,8 +295,13 @@
 
     fn reserve(&mut self, now: Time, id: &TargetId) -> Option<ChosenTarget> {
         let own_zone = self.settings.zone.clone();
+        let side = self
+            .targets
+            .get(id)
+            .and_then(|view| self.compared_side(view));
         let view = self.targets.get_mut(id)?;
         let choice = ChosenTarget {
+            side,
             id: id.clone(),
             run: view.key,
             address: view.target.address,
--- a/src/entry/target/targets.rs
+++ b/src/entry/target/targets.rs
@@ -192,6 +192,18 @@
         self.views.get_mut(id)
     }
 
+    /// The view of the run of a target that `key` identifies.
+    #[must_use]
+    pub fn run(&self, key: u64) -> Option<&TargetState> {
+        self.views.get(self.by_key.get(&key)?)
+    }
+
+    /// The targets of a service that are neither leaving, down nor evacuated.
+    pub fn usable(&self, now: Time, service: &ServiceName) -> impl Iterator<Item = &TargetState> {
+        let views = self.views.values();
+        views.filter(move |view| view.target.service == *service && self.is_usable(now, view))
+    }
+
     /// Sets which targets this instance probes.
     pub fn set_probed(&mut self, now: Time, probed: &IndexSet<TargetId>) {
         for (id, view) in &mut self.views {
--- a/src/entry/target/targets/view.rs
+++ b/src/entry/target/targets/view.rs
@@ -123,6 +123,12 @@
         self.target.leaving
     }
 
+    /// Whether it is registered and not about to leave.
+    #[must_use]
+    pub fn is_registered(&self) -> bool {
+        !self.is_leaving() && self.removed_at.is_none()
+    }
+
     /// Number of connections of this instance to it.
     #[must_use]
     pub fn open_connections(&self) -> usize {
--- a/src/platform/prepared/record.rs
+++ b/src/platform/prepared/record.rs
@@ -196,10 +196,11 @@
     })
 }
 
-#[cfg_attr(
-    not(test),
-    expect(dead_code, reason = "written by the holder of a roll-out")
-)]
+/// Key of the decision on a service's roll-out.
+pub(crate) fn decision_key(service: &ServiceName) -> String {
+    format!("{ROLLOUT_DECISION_PREFIX}{service}")
+}
+
 /// The records that a decision is written to, as keys and values: the decision itself,
 /// whose revision is to be compared, and the state that operators read.
 pub(crate) fn decision_records(decision: &RolloutDecision) -> [(String, Vec<u8>); 2] {
@@ -221,7 +222,7 @@
     let service = &decision.service;
     [
         (
-            format!("{ROLLOUT_DECISION_PREFIX}{service}"),
+            decision_key(service),
             serde_json::to_vec(&value).unwrap_or_default(),
         ),
         (
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -185,6 +185,29 @@
         Ok(())
     }
 
+    /// Writes records together if `key` is at `revision`; 0 requires that it does not exist.
+    /// Otherwise the result is [`StoreError::Conflict`]. Returns their position.
+    pub(crate) async fn commit(
+        &mut self,
+        records: &[(String, Vec<u8>)],
+        key: &str,
+        revision: u64,
+    ) -> Result<Position, StoreError> {
+        let write = |(key, value): &(String, Vec<u8>)| json!({ "key": key, "value": STANDARD.encode(value), "lease": 0 });
+        let body = json!({
+            "expected": [{ "key": key, "rev": revision }],
+            "writes": records.iter().map(write).collect::<Vec<_>>(),
+            "remove": [],
+        });
+        let Answer { era, body } = self
+            .post::<Committed>("commit", "/api/kv-txn", &body)
+            .await?;
+        Ok(Position {
+            era,
+            revision: body.rev,
+        })
+    }
+
     /// Removes a record if its key is at `revision`. Otherwise the result is
     /// [`StoreError::Conflict`].
     pub(crate) async fn remove_if(&mut self, key: &str, revision: u64) -> Result<(), StoreError> {
@@ -276,6 +299,11 @@
     }
 }
 
+#[derive(Deserialize)]
+struct Committed {
+    rev: u64,
+}
+
 #[derive(Deserialize)]
 struct Page {
     items: Vec<Item>,
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -3,10 +3,9 @@
 //!
 //! All here is pure; see `docs/design/rollouts.md`.
 
-#[cfg_attr(not(test), expect(dead_code, reason = "not wired yet"))]
 pub mod evidence;
+pub mod gate;
 mod history;
-#[cfg_attr(not(test), expect(dead_code, reason = "not wired yet"))]
 pub mod judge;
 mod schedule;
 mod verdict;
--- a/standin/src/prepared/target.rs
+++ b/standin/src/prepared/target.rs
@@ -60,6 +60,10 @@
     pub limit: Option<f64>,
     /// Whether every response says that the target is about to leave.
     pub names_leaving: bool,
+    /// Version of the target's software.
+    pub version: &'static str,
+    /// Start of the paths of the requests that fail; `None` if none do.
+    pub failing_route: Option<&'static str>,
     /// Seconds for which requests and health checks are turned away, with this time to
     /// retry after; `None` if none are.
     pub pause: Option<u32>,
@@ -165,7 +169,7 @@
         let state = if leaving { "draining" } else { "ready" };
         json!({
             "service": self.service, "address": self.address(), "zone": zone,
-            "version": "v1", "slots": 6, "state": state, "warmup_left_ms": 0,
+            "version": self.state.get().version, "slots": 6, "state": state, "warmup_left_ms": 0,
             "sequence": 1, "born": 1 + self.record.get().crashes,
         })
         .to_string()
@@ -185,6 +189,8 @@
             crash_duration: Duration::ZERO,
             limit: None,
             names_leaving: false,
+            version: "v1",
+            failing_route: None,
             pause: None,
         }
     }
@@ -277,6 +283,12 @@
         ("x-body-checksum", &sum),
     ];
     let text = format!("{} ran {method} {path} with {}", cx.id, body.len());
+    if state
+        .failing_route
+        .is_some_and(|route| path.starts_with(route))
+    {
+        return Some(response(500, &proof, String::new()));
+    }
     match state.behaviour {
         Behaviour::Serving | Behaviour::Shedding => Some(response(200, &proof, text)),
         Behaviour::Failing | Behaviour::Early => Some(response(500, &proof, String::new())),
