Leave the replica's copy of an own decision to the watch

A transaction that writes two keys may give each its own revision, so the decision's revision isn't known from the response: the next write expected a wrong one and was refused until the end. The decision now applies to the gate at once, and the replica gets it from the watch.

Seen in a process test of a withdrawn order, which passes with this.

--- a/src/entry/fleet/replica.rs
+++ b/src/entry/fleet/replica.rs
@@ -114,6 +114,12 @@
         self.entries.get(key).map(|entry| entry.revision)
     }
 
+    /// Record of a key; `None` when there is none.
+    #[must_use]
+    pub fn record_of(&self, key: &str) -> Option<&Record> {
+        Some(&self.entries.get(key)?.record)
+    }
+
     /// The configuration in force; `None` before the first one.
     #[must_use]
     pub fn configuration(&self) -> Option<&Arc<Configuration>> {
--- a/src/entry/rollout/holder.rs
+++ b/src/entry/rollout/holder.rs
@@ -8,8 +8,7 @@
 use super::ServiceRollout;
 use super::duty::Write;
 use crate::entry::fleet::peers;
-use crate::entry::fleet::replica::{Delta, Position};
-use crate::entry::model::{Change, Record};
+use crate::entry::model::Record;
 use crate::entry::shared::Shared;
 use crate::entry::state::State;
 use crate::platform::prepared::record;
@@ -55,17 +54,16 @@
     let now = shared.now();
     let mut state = shared.state();
     match result {
-        Ok(position) => {
+        Ok(()) => {
             tracing::info!(
                 service = %write.decision.service,
                 version = %write.decision.version,
                 stage = ?write.decision.stage,
-                revision = position.revision,
                 reason = write.reason,
                 "decision of a roll-out written"
             );
             state.finish_write(&write, None);
-            state.apply_decision(now, &key, position, &write);
+            state.apply_decision(now, &write);
         }
         Err(err) => {
             tracing::info!(
@@ -99,19 +97,11 @@
         };
     }
 
-    /// Applies an own decision that the store has accepted, before the watch delivers it.
-    fn apply_decision(&mut self, now: Time, key: &str, at: Position, write: &Write) {
-        let delta = Delta {
-            era: at.era,
-            revision: self.replica.revision(),
-            complete: false,
-            changes: vec![Change {
-                key: key.into(),
-                revision: at.revision,
-                record: Some(Record::RolloutDecision(write.decision.clone())),
-            }],
-        };
-        self.apply(now, delta, "own decision");
+    /// Applies an own decision that the store has accepted. The replica gets it from the
+    /// watch, which knows its revision.
+    fn apply_decision(&mut self, now: Time, write: &Write) {
+        self.put_rollout_record(&Record::RolloutDecision(write.decision.clone()));
+        self.update_rollouts(now, false);
     }
 }
 
--- a/src/entry/rollout/records.rs
+++ b/src/entry/rollout/records.rs
@@ -9,6 +9,7 @@
 use crate::entry::state::State;
 use crate::entry::target::targets::TargetState;
 use crate::names::{ServiceName, VersionName};
+use crate::platform::prepared::record;
 use crate::rollout::evidence::OwnEvidence;
 use crate::rollout::gate::Gate;
 use crate::rollout::{RolloutDecision, Stage};
@@ -59,6 +60,18 @@
         }
     }
 
+    /// Takes in which decisions a restored store holds: it may lack one that this instance
+    /// has just written.
+    pub(crate) fn reread_decisions(&mut self) {
+        for (service, rollout) in &mut self.rollouts.services {
+            let record = self.replica.record_of(&record::decision_key(service));
+            rollout.recorded = match record {
+                Some(Record::RolloutDecision(decision)) => Some(decision.clone()),
+                _ => None,
+            };
+        }
+    }
+
     /// Applies the orders and decisions that the store holds, once all changes that came
     /// together are taken in. `is_first` is whether they are the first that this instance
     /// has read, and may be old.
--- a/src/entry/state/changes.rs
+++ b/src/entry/state/changes.rs
@@ -38,6 +38,9 @@
             log_change(change, self.replica.revision(), source, lapsed);
             self.apply_change(now, change, lapsed);
         }
+        if restored {
+            self.reread_decisions();
+        }
         if !self.rollouts.is_empty() {
             self.update_rollouts(now, is_first);
         }
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -186,26 +186,22 @@
     }
 
     /// Writes records together if `key` is at `revision`; 0 requires that it does not exist.
-    /// Otherwise the result is [`StoreError::Conflict`]. Returns their position.
+    /// Otherwise the result is [`StoreError::Conflict`].
     pub(crate) async fn commit(
         &mut self,
         records: &[(String, Vec<u8>)],
         key: &str,
         revision: u64,
-    ) -> Result<Position, StoreError> {
+    ) -> Result<(), StoreError> {
         let write = |(key, value): &(String, Vec<u8>)| json!({ "key": key, "value": STANDARD.encode(value), "lease": 0 });
         let body = json!({
             "expected": [{ "key": key, "rev": revision }],
             "writes": records.iter().map(write).collect::<Vec<_>>(),
             "remove": [],
         });
-        let Answer { era, body } = self
-            .post::<Committed>("commit", "/api/kv-txn", &body)
+        self.post::<serde_json::Value>("commit", "/api/kv-txn", &body)
             .await?;
-        Ok(Position {
-            era,
-            revision: body.rev,
-        })
+        Ok(())
     }
 
     /// Removes a record if its key is at `revision`. Otherwise the result is
@@ -299,11 +295,6 @@
     }
 }
 
-#[derive(Deserialize)]
-struct Committed {
-    rev: u64,
-}
-
 #[derive(Deserialize)]
 struct Page {
     items: Vec<Item>,
