Let the next instance decide when the first one doesn't

A first instance that is paused, or whose writes the store refuses while its watch still waits, held up every stage until it counted as silent. The next two judge anyway: each acts 1.2 s after the one before it should have, and the condition on the decision settles who wins. Instances that don't judge look for evidence to send each 250 ms only, and count no targets.

--- a/src/entry/rollout/duty.rs
+++ b/src/entry/rollout/duty.rs
@@ -31,13 +31,15 @@
 const EVIDENCE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two messages on a roll-back that the store lacks.
 const ROLL_BACK_NEWS_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after which the next instance in the order writes a decision that the store lacks:
-/// some attempts of the one before it.
-const TAKEOVER_DELAY: Duration = Duration::from_millis(1500);
+/// Time after which the next instance in the order decides, or writes a decision that the
+/// store lacks: some attempts of the one before it, which may be paused or refused.
+const TAKEOVER_DELAY: Duration = Duration::from_millis(1200);
 
 /// What is to be done outside the state's lock.
 #[derive(Debug, Default)]
 pub(super) struct Tasks {
+    /// Whether this instance judges.
+    pub judges: bool,
     /// Datagrams, and the peers that get them.
     pub messages: Vec<(Datagram, Vec<SocketAddr>)>,
     /// Decisions to write.
@@ -62,13 +64,22 @@
     unix_ms: u64,
     limits: RolloutLimits,
     /// Position in the order of those that decide; 0 decides.
-    rank: usize,
+    rank: u32,
+    /// Whether this instance judges.
+    is_judge: bool,
     /// The other instances that judge.
     judges: Vec<SocketAddr>,
     /// All live peers.
     peers: Vec<SocketAddr>,
 }
 
+impl Turn {
+    /// Whether it is this instance's turn to do what has been left undone since a time.
+    fn has_come(&self, since: Time) -> bool {
+        self.now.since(since) >= TAKEOVER_DELAY.saturating_mul(self.rank)
+    }
+}
+
 /// What the instance knows of a service besides its roll-out.
 #[derive(Debug)]
 struct ServiceView {
@@ -91,18 +102,21 @@
         let own = self.settings.peers;
         let order = self.members.deciders(now, &self.status);
         let rank = order.iter().position(|address| *address == own);
+        let rank = rank.unwrap_or(order.len());
+        tasks.judges = rank < JUDGES;
         let others = order.iter().take(JUDGES).copied();
         let turn = Turn {
             now,
             unix_ms,
             limits,
-            rank: rank.unwrap_or(order.len()),
+            rank: u32::try_from(rank).unwrap_or(u32::MAX),
+            is_judge: tasks.judges,
             judges: others.filter(|address| *address != own).collect(),
             peers: self.members.live(now).map(|(address, _)| address).collect(),
         };
         let services: Vec<ServiceName> = self.rollouts.services.keys().cloned().collect();
         for service in services {
-            let view = self.service_view(now, service);
+            let view = self.service_view(&turn, service);
             if let Some(rollout) = self.rollouts.services.get_mut(&view.service)
                 && !rollout.is_idle()
             {
@@ -112,10 +126,13 @@
         tasks
     }
 
-    fn service_view(&self, now: Time, service: ServiceName) -> ServiceView {
+    fn service_view(&self, turn: &Turn, service: ServiceName) -> ServiceView {
         let key = record::decision_key(&service);
+        let facts = turn
+            .is_judge
+            .then(|| self.rollout_facts(turn.now, &service));
         ServiceView {
-            facts: self.rollout_facts(now, &service),
+            facts: facts.unwrap_or_default(),
             previous: self.previous_versions(&service),
             revision: self.replica.revision_of(&key).unwrap_or_default(),
             service,
@@ -183,9 +200,7 @@
                 if unrecorded.stage == Stage::RolledBack {
                     self.tell_roll_back(turn, view, &unrecorded.version, tasks);
                 }
-                let rank = u32::try_from(turn.rank).unwrap_or(u32::MAX);
-                let is_due = turn.now.since(since) >= TAKEOVER_DELAY.saturating_mul(rank);
-                is_due.then_some(unrecorded)
+                turn.has_come(since).then_some(unrecorded)
             }
             None => decided,
         };
@@ -223,7 +238,7 @@
         }
         let report = evidence.report();
         self.evidence_sent = turn.now;
-        if turn.rank < JUDGES
+        if turn.is_judge
             && let Some(judge) = self.judge(turn.now, turn.unix_ms, turn.limits)
         {
             judge.receive(turn.now, &report);
@@ -234,18 +249,23 @@
         }
     }
 
-    /// Judges, if this instance is among those that do. Only the first one acts: it rolls
-    /// back at once, and returns any other stage to write.
+    /// Judges, if this instance is among those that do. The first one acts, or the next if
+    /// it doesn't: it rolls back at once, and returns any other stage to write.
     fn decide(&mut self, turn: &Turn, view: &ServiceView) -> Option<Unrecorded> {
-        if turn.rank >= JUDGES {
+        if !turn.is_judge {
+            self.wanted = None;
             return None;
         }
         let (order, stage) = self.gate.unfinished()?;
         let version = order.version.clone();
         let judge = self.judge(turn.now, turn.unix_ms, turn.limits)?;
-        let Decided { stage, reason } = judge.decide(turn.now, &view.facts, stage)?;
+        let decided = judge.decide(turn.now, &view.facts, stage);
+        let wanted = self.wanted.filter(|(known, _)| *known == stage);
+        let since = wanted.map_or(turn.now, |(_, since)| since);
+        self.wanted = decided.is_some().then_some((stage, since));
+        let Decided { stage, reason } = decided?;
         let is_roll_back = stage == Stage::RolledBack;
-        if turn.rank > 0 || !is_roll_back && !self.may_write(turn.now) {
+        if !turn.has_come(since) || !is_roll_back && !self.may_write(turn.now) {
             return None;
         }
         tracing::info!(
@@ -276,7 +296,7 @@
         let is_due = self
             .told
             .is_none_or(|at| turn.now.since(at) >= ROLL_BACK_NEWS_INTERVAL);
-        if turn.rank > 0 || !is_due || turn.peers.is_empty() {
+        if !turn.is_judge || !is_due || turn.peers.is_empty() {
             return;
         }
         self.told = Some(turn.now);
--- a/src/entry/rollout/holder.rs
+++ b/src/entry/rollout/holder.rs
@@ -15,8 +15,10 @@
 use crate::platform::prepared::store::{StoreClient, StoreError};
 use crate::units::Time;
 
-/// Interval at which there may be something to do while a roll-out is unfinished.
-const TICK: Duration = Duration::from_millis(100);
+/// Interval at which an instance judges while a roll-out is unfinished.
+const JUDGE_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which any other instance checks whether there is evidence to send.
+const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 /// First and longest delay after a decision could not be written; it doubles each time.
 const WRITE_BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 
@@ -40,7 +42,12 @@
         for write in tasks.writes {
             tokio::spawn(commit(shared.clone(), write));
         }
-        tokio::time::sleep(TICK).await;
+        let interval = if tasks.judges {
+            JUDGE_INTERVAL
+        } else {
+            IDLE_INTERVAL
+        };
+        tokio::time::sleep(interval).await;
     }
 }
 
--- a/src/entry/rollout/mod.rs
+++ b/src/entry/rollout/mod.rs
@@ -19,7 +19,7 @@
 use crate::rollout::evidence::OwnEvidence;
 use crate::rollout::gate::Gate;
 use crate::rollout::judge::Judge;
-use crate::rollout::{RolloutDecision, RolloutOrder};
+use crate::rollout::{RolloutDecision, RolloutOrder, Stage};
 use crate::units::Time;
 
 /// The roll-outs that this instance knows of, by service.
@@ -83,6 +83,8 @@
     evidence_sent: Time,
     /// The view of an instance that decides, or would.
     judge: Option<Judge>,
+    /// The stage that this instance would end, and since when.
+    wanted: Option<(Stage, Time)>,
     /// Why the last decision of this instance was made.
     reason: Option<String>,
     /// When peers were last told of a roll-back that the store lacks.
@@ -115,6 +117,7 @@
             evidence: None,
             evidence_sent: Time::ZERO,
             judge: None,
+            wanted: None,
             reason: None,
             told: None,
             unrecorded_since: None,
