--- a/standin/src/prepared/store.rs
+++ b/standin/src/prepared/store.rs
@@ -182,6 +182,13 @@
         });
     }
 
+    /// Returns the value of an item, if it exists.
+    #[must_use]
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let data = &self.state.data;
+        data.change(|data| data.items.get(key).map(|item| item.value.clone()))
+    }
+
     /// Returns the keys of all items.
     #[must_use]
     pub fn keys(&self) -> Vec<String> {
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -5,6 +5,7 @@
 mod entry_leaving;
 mod entry_limits;
 mod entry_restore;
+mod entry_rollouts;
 mod entry_silence;
 mod entry_uploads;
 
--- a/tests/entry_cluster/mod.rs
+++ b/tests/entry_cluster/mod.rs
@@ -51,6 +51,19 @@
     settings_dir: tempfile::TempDir,
 }
 
+fn request(path: &str, id: &str) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nhost: x.example\r\nx-request-id: {id}\r\n\
+         x-deadline-ms: 2000\r\n\r\n"
+    )
+}
+
+/// Sends a request to the instance that accepts callers at `address`, which may be down.
+pub async fn send(address: SocketAddr, path: &str, id: &str) -> Option<HttpResponse> {
+    let sending = exchange(address, request(path, id));
+    tokio::time::timeout(WAIT_LIMIT, sending).await.ok()?
+}
+
 impl EntryCluster {
     /// Starts instances and targets, and waits until every instance has the first configuration and
     /// knows all targets and instances.
@@ -173,6 +186,18 @@
         &self.targets
     }
 
+    /// Starts another target, whose software has this version.
+    pub async fn add_target(&mut self, version: &'static str) -> usize {
+        let number = self.targets.len();
+        let target = TargetStandin::start(&format!("t{number}"), "s")
+            .await
+            .unwrap();
+        target.state.change(|state| state.version = version);
+        self.targets.push(target);
+        self.put_target(number, false);
+        number
+    }
+
     pub fn put_target(&self, number: usize, leaving: bool) {
         let target = &self.targets[number];
         let key = format!("servers/{}", target.id);
@@ -237,17 +262,26 @@
         path: &str,
         id: &str,
     ) -> impl Future<Output = HttpResponse> + Send + use<> {
-        let address = SocketAddr::new(self.instances[instance].ip, CALLER_PORT);
-        let req = format!(
-            "GET {path} HTTP/1.1\r\nhost: x.example\r\nx-request-id: {id}\r\n\
-             x-deadline-ms: 2000\r\n\r\n"
-        );
+        let (address, req) = (self.caller_address(instance), request(path, id));
         async move {
             let resp = tokio::time::timeout(WAIT_LIMIT, exchange(address, req)).await;
             resp.unwrap().unwrap()
         }
     }
 
+    /// Address at which an instance accepts callers.
+    pub fn caller_address(&self, instance: usize) -> SocketAddr {
+        SocketAddr::new(self.instances[instance].ip, CALLER_PORT)
+    }
+
+    /// Waits until a log contains `text`, and returns the first instance with such a log.
+    pub async fn wait_for_first_log(&self, text: &str) -> usize {
+        let has = |instance: &Instance| instance.log.lock().unwrap().contains(text);
+        let first = || async { self.instances.iter().position(has) };
+        self.wait_until(first, |_| true).await;
+        first().await.unwrap()
+    }
+
     /// Opens a connection to an instance, for requests whose bytes are sent one by one.
     pub async fn connect(&self, instance: usize) -> RawConn {
         let address = SocketAddr::new(self.instances[instance].ip, CALLER_PORT);
