--- a/src/rollout/judge.rs
+++ b/src/rollout/judge.rs
@@ -125,12 +125,12 @@
     }
 }
 
-/// How much speaks for the new version.
-enum Proof {
-    /// Enough.
-    Full(Reason),
-    /// So little that it only suffices when there is no time left.
-    Thin(Reason),
+/// That the new version isn't worse, and how certain this is.
+enum Confidence {
+    /// There are enough responses.
+    High(Reason),
+    /// There are so few that they only suffice when there is no time left.
+    Low(Reason),
 }
 
 /// The view of one roll-out on an instance that decides on it, or would if those
@@ -210,17 +210,17 @@
         if self.complete_at.is_some() {
             return None;
         }
-        let proof = self.proof(now, facts, step);
-        let next = match (&proof, step) {
-            (Ok(proof), Step::Full) => self.complete(proof, elapsed, now.since(since)),
-            (Ok(proof), _) => self.raise(proof, elapsed, now.since(since), percent),
+        let confidence = self.confidence(now, facts, step);
+        let next = match (&confidence, step) {
+            (Ok(confidence), Step::Full) => self.complete(confidence, elapsed, now.since(since)),
+            (Ok(confidence), _) => self.raise(confidence, elapsed, now.since(since), percent),
             (Err(_), _) => None,
         };
         if next.is_some() {
             return next;
         }
-        if self.schedule.is_too_late(elapsed, step) && !(step == Step::Full && proof.is_ok()) {
-            let missing = proof.err().unwrap_or(Missing::Time);
+        if self.schedule.is_too_late(elapsed, step) && !(step == Step::Full && confidence.is_ok()) {
+            let missing = confidence.err().unwrap_or(Missing::Time);
             return Some(Decided::new(Stage::RolledBack, Reason::TooLate(missing)));
         }
         (step == Step::Sample)
@@ -302,7 +302,7 @@
     }
 
     /// What speaks for the new version, or what is missing for the step after `step`.
-    fn proof(&self, now: Time, facts: &Facts, step: Step) -> Result<Proof, Missing> {
+    fn confidence(&self, now: Time, facts: &Facts, step: Step) -> Result<Confidence, Missing> {
         let next_share = match step {
             Step::Sample => 0.25,
             Step::Part | Step::Full => 1.0,
@@ -335,16 +335,16 @@
         }
         let reason = Reason::NotWorse { new, targets };
         Ok(if few {
-            Proof::Thin(reason)
+            Confidence::Low(reason)
         } else {
-            Proof::Full(reason)
+            Confidence::High(reason)
         })
     }
 
     /// The next larger step, if it is time.
     fn raise(
         &self,
-        proof: &Proof,
+        confidence: &Confidence,
         elapsed: Duration,
         in_force: Duration,
         percent: u8,
@@ -358,15 +358,20 @@
             _ if in_force < self.schedule.min_part_time => return None,
             _ => (self.schedule.full, self.schedule.last_full, 100),
         };
-        let (at, reason) = match proof {
-            Proof::Full(reason) => (planned, reason),
-            Proof::Thin(reason) => (last, reason),
+        let (at, reason) = match confidence {
+            Confidence::High(reason) => (planned, reason),
+            Confidence::Low(reason) => (last, reason),
         };
         (elapsed >= at).then(|| Decided::new(Stage::Running(next), reason.clone()))
     }
 
-    fn complete(&self, proof: &Proof, elapsed: Duration, in_force: Duration) -> Option<Decided> {
-        let (Proof::Full(reason) | Proof::Thin(reason)) = proof;
+    fn complete(
+        &self,
+        confidence: &Confidence,
+        elapsed: Duration,
+        in_force: Duration,
+    ) -> Option<Decided> {
+        let (Confidence::High(reason) | Confidence::Low(reason)) = confidence;
         let enough = in_force >= self.schedule.full_time || elapsed >= self.schedule.completed;
         (enough && in_force >= MIN_FULL_TIME)
             .then(|| Decided::new(Stage::Completed, reason.clone()))
--- a/src/rollout/judge/replay.rs
+++ b/src/rollout/judge/replay.rs
@@ -268,7 +268,7 @@
         let (targets, ill) = match side {
             Side::Old => (self.old_targets, &self.old_ill),
             // A sample goes to so few targets that each has twice the usual load.
-            Side::New if share < 0.25 => (
+            Side::New if share < 1.0 => (
                 ((self.old_targets as f64 * share / 2.0) as u64).clamp(2, self.new_targets),
                 &self.new_ill,
             ),
