--- a/src/entry/endpoints.rs
+++ b/src/entry/endpoints.rs
@@ -56,6 +56,8 @@
             shared.metrics.unknown_kinds.set(gauge(unknown_kinds));
             let body_bytes = shared.body_memory.total();
             shared.metrics.body_bytes.set(gauge(body_bytes));
+            let running = shared.state().rollouts.running();
+            shared.metrics.rollouts.set(gauge(running));
             let metrics = &shared.metrics;
             let state = shared.state();
             let quarantine = state.quarantine.size();
@@ -90,6 +92,7 @@
                 "service": view.target.service,
                 "address": view.target.address,
                 "zone": view.target.zone,
+                "version": view.target.version,
                 "leaving": view.is_leaving(),
                 "says_leaving": view.notice.is_leaving(),
                 "pause_left_ms": view.notice.pause_left(now).map(millis),
@@ -128,6 +131,7 @@
         "quarantine": state.quarantine.size(),
         "suspects": state.quarantine.cases(now).collect::<Vec<_>>(),
         "accounts": accounts(state),
+        "rollouts": state.rollouts.iter().map(|(service, rollout)| rollout.dump(service)).collect::<Vec<_>>(),
         "targets": targets,
         "peers": peers,
     })
--- a/src/entry/target/targets/view.rs
+++ b/src/entry/target/targets/view.rs
@@ -144,6 +144,12 @@
         self.notice.pause_left(now).is_none() && self.limit.try_check(now)
     }
 
+    /// Whether it is registered and not about to leave.
+    #[must_use]
+    pub fn is_registered(&self) -> bool {
+        !self.is_leaving() && self.removed_at.is_none()
+    }
+
     /// Number of connections of this instance to it.
     #[must_use]
     pub fn open_connections(&self) -> usize {
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -3,6 +3,13 @@
 //!
 //! All here is pure; see `docs/design/rollouts.md`.
 
+pub mod evidence;
+pub mod gate;
+mod history;
+pub mod judge;
+mod schedule;
+mod verdict;
+
 use std::time::Duration;
 
 use crate::macros::data;
@@ -44,3 +51,15 @@
         pub ordered_ms: u64,
     }
 }
+
+/// Limits of roll-outs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RolloutLimits {
+    /// Share of a service's requests that a bad version may get, from all instances
+    /// together.
+    pub share: f64,
+    /// Requests that it may get in addition.
+    pub slack: f64,
+    /// Time from a version's 50th bad response until it must get no requests.
+    pub rollback_time: Duration,
+}
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -7,6 +7,7 @@
 mod entry_limits;
 mod entry_pipelining;
 mod entry_restore;
+mod entry_rollouts;
 mod entry_silence;
 mod entry_uploads;
 
