--- a/src/platform/prepared/mod.rs
+++ b/src/platform/prepared/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! These modules only translate; all decisions are made in [`crate::entry`].
 
+mod accounts;
 pub(crate) mod record;
 pub(crate) mod settings;
 pub(crate) mod store;
--- a/src/platform/prepared/record.rs
+++ b/src/platform/prepared/record.rs
@@ -1,6 +1,5 @@
 //! Decodes the records of the platform's store into the types of [`crate::entry::model`].
 
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,12 +9,12 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
-use crate::account::{Account, AccountLimit, KeyDigest};
 use crate::entry::model::{
     CallerLimits, Configuration, Record, Registration, RetrySafety, Route, ServiceLimits, Target,
     UnknownKind, WeightedService,
 };
 use crate::names::{ServiceName, ZoneName};
+use crate::platform::prepared::accounts::convert_accounts;
 use crate::rollout::{RolloutDecision, RolloutOrder, Stage};
 
 /// Key of the configuration.
@@ -325,20 +324,6 @@
     public: bool,
 }
 
-#[derive(Deserialize)]
-struct AccountValue {
-    name: Box<str>,
-    /// Checked apart, since an error of the decoder would repeat a key.
-    #[serde(default)]
-    api_keys: Value,
-    #[serde(default)]
-    priority: Option<u32>,
-    #[serde(default)]
-    rate_per_s: Option<f64>,
-    #[serde(default)]
-    burst: Option<f64>,
-}
-
 #[derive(Deserialize)]
 struct ServiceValue {
     name: Box<str>,
@@ -382,69 +367,6 @@
     })
 }
 
-/// Converts the accounts. Two that share a name or a key are an error, since a request's
-/// account would be ambiguous.
-fn convert_accounts(values: &[AccountValue]) -> Result<Vec<Account>, String> {
-    let mut names = HashSet::new();
-    let mut keys = HashSet::new();
-    for value in values {
-        if value.name.is_empty() || !names.insert(value.name.clone()) {
-            return Err(format!(
-                "tenant {:?}: its name is empty or used twice",
-                value.name
-            ));
-        }
-        if value.name.chars().any(char::is_control) {
-            return Err(format!(
-                "tenant {:?}: its name, which is sent in a header, has a control character",
-                value.name
-            ));
-        }
-        if !keys_of(value)?
-            .iter()
-            .all(|key| !key.is_empty() && keys.insert(*key))
-        {
-            return Err(format!(
-                "tenant {}: a key is empty or used twice",
-                value.name
-            ));
-        }
-    }
-    values.iter().map(convert_account).collect()
-}
-
-/// The keys of an account.
-///
-/// # Errors
-/// They are not a list of texts; the error does not contain them.
-fn keys_of(value: &AccountValue) -> Result<Vec<&str>, String> {
-    let keys = match &value.api_keys {
-        Value::Null => Some(Vec::new()),
-        Value::Array(keys) => keys.iter().map(Value::as_str).collect(),
-        _ => None,
-    };
-    keys.ok_or_else(|| format!("tenant {}: api_keys must be a list of texts", value.name))
-}
-
-fn convert_account(wire: &AccountValue) -> Result<Account, String> {
-    let rate = wire.rate_per_s.unwrap_or_default();
-    let burst = wire.burst.unwrap_or_default();
-    let is_valid = |value: f64| value.is_finite() && value >= 0.0;
-    if !is_valid(rate) || !is_valid(burst) {
-        return Err(format!(
-            "tenant {}: rate_per_s and burst must be numbers that are not negative",
-            wire.name
-        ));
-    }
-    let keys = keys_of(wire)?.into_iter();
-    Ok(Account {
-        name: (&*wire.name).into(),
-        keys: keys.map(|key| KeyDigest::of(key.as_bytes())).collect(),
-        priority: wire.priority,
-        limit: (rate > 0.0).then_some(AccountLimit { rate, burst }),
-    })
-}
-
 fn unknown_kind(route: &RouteValue) -> Option<UnknownKind> {
     let RouteType::Unknown(kind) = &route.route_type else {
         return None;
--- a/src/platform/prepared/record/tests.rs
+++ b/src/platform/prepared/record/tests.rs
@@ -1,6 +1,7 @@
 use std::fmt::Write;
 
 use super::*;
+use crate::account::{Account, AccountLimit, KeyDigest};
 
 const CONFIGURATION_TEXT: &str = r#"{
     "version": "r7", "base_version": "r5",
