Confirm a failed probe by any response since the first failure

Cause: a failed probe is held until another target has responded since it began, and each further failure replaced its start. Change: the start of the first failure counts.

--- a/src/entry/state/probes.rs
+++ b/src/entry/state/probes.rs
@@ -181,7 +181,9 @@
     /// responded meanwhile; the result is held until then.
     pub(crate) fn record_probe(&mut self, now: Time, report: TargetReport, started: Time) {
         if report.health == Health::Unreachable && !self.reach.is_confirmed_since(started) {
-            self.unconfirmed.insert(report.target, (report, started));
+            // A response since the first failed probe confirms the later ones too.
+            let held = self.unconfirmed.entry(report.target);
+            held.or_insert((report, started)).0 = report;
             return;
         }
         self.unconfirmed.swap_remove(&report.target);
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -245,6 +245,31 @@
     assert_eq!(checked, runs[5..]);
 }
 
+/// An instance that probes a single target checks its reach after each failed probe, and the
+/// next probe starts before the result is looked at.
+#[tokio::test]
+async fn a_probe_that_keeps_failing_is_confirmed_by_a_response_in_between() {
+    let targets = IDS.map(|id| (id, ([127, 0, 0, 1], 1).into()));
+    let shared = instance_with(&targets);
+    let now = shared.now();
+    let mut state = shared.state();
+    let runs: Vec<u64> = state.targets.views().map(|view| view.key).collect();
+    let failed = TargetReport {
+        target: runs[0],
+        load: None,
+        cold_ms: 0,
+        health: Health::Unreachable,
+        age_ms: 0,
+    };
+    let at = |ms| now.after(Duration::from_millis(ms));
+    state.record_probe(at(1), failed, at(0));
+    state.record_open_path(at(14), runs[1], at(12));
+    state.record_probe(at(101), failed, at(100));
+    state.record_confirmed_probes(at(112));
+    let view = state.targets.run_mut(runs[0]).unwrap();
+    assert_eq!(view.health, Health::Unreachable);
+}
+
 /// Requests and health checks count together in a pause.
 #[tokio::test]
 async fn targets_that_want_a_pause_are_not_checked() {
