Take no late copy of a response without an id for another one

Cause: responses to health checks, and those that say that a request was not run, may have no request id. A second copy of one, late, was taken for the response to the next request on the connection: that request counted as lost, or as not run while it ran. A check took a late response to a request for its own. Change: a connection is not used again after a response without an id other than that of a successful check; a late copy of that one, and of a request's response at a check, is skipped.

--- a/src/entry/request/attempt.rs
+++ b/src/entry/request/attempt.rs
@@ -128,10 +128,13 @@
         max_response_bytes: MAX_RESPONSE_BYTES,
         memory: Some(&shared.response_memory),
     };
+    let follows_check = conn.is_checked;
     let matches_request = |response: &Response| {
-        wire::response_meta(response.status, &response.headers)
-            .id
-            .is_none_or(|id| *id == *outbound.id)
+        match wire::response_meta(response.status, &response.headers).id {
+            Some(id) => *id == *outbound.id,
+            // A late copy of the response to a health check.
+            None => !(follows_check && response.status == 200),
+        }
     };
     plan.may_run.store(true, Ordering::Relaxed);
     let response = conn.conn.exchange(&outgoing, matches_request).await?;
@@ -142,7 +145,10 @@
         state.record_open_path(now, choice.run, conn.opened);
         state.record_notice(now, choice.run, &meta);
     }
-    shared.pool.put(now, &choice.id, conn, meta.idle_for);
+    // A late copy of a response without an id could be taken for the next one.
+    if meta.id.is_some() {
+        shared.pool.put(now, &choice.id, conn, meta.idle_for);
+    }
     Ok(response)
 }
 
@@ -169,6 +175,7 @@
 ) -> Result<TargetConn, AttemptError> {
     let timeout = shared.state().tuning.precheck.timeout;
     shared.metrics.prechecks.inc();
+    conn.is_checked = true;
     let checking = probe::check(&mut conn.conn, choice.address, path);
     let response = match tokio::time::timeout(timeout, checking).await {
         Ok(Ok(response)) => response,
@@ -219,11 +226,18 @@
         state.record_notice(now, choice.run, &meta);
         state.confirm_choice(now, choice, &plan.requirements, &plan.tried)
     };
+    // A late copy of another status could be taken for the response to the request.
+    let is_distinct = response.status == 200;
+    if confirmed && !is_distinct {
+        return Ok(connect(shared, choice).await?);
+    }
     if confirmed && conn.conn.is_reusable() {
         return Ok(conn);
     }
     let cause = format!("the check reports {:?}", meta.load);
-    shared.pool.put(now, &choice.id, conn, meta.idle_for);
+    if is_distinct {
+        shared.pool.put(now, &choice.id, conn, meta.idle_for);
+    }
     shared.metrics.declined.inc();
     Err(AttemptError::Declined(cause))
 }
@@ -248,6 +262,7 @@
     Ok(TargetConn {
         conn: opened?,
         opened: shared.now(),
+        is_checked: false,
         _token: token,
     })
 }
@@ -404,3 +419,6 @@
     }
     (AttemptOutcome::Answered, Some(response), cause)
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/entry/request/pool.rs
+++ b/src/entry/request/pool.rs
@@ -27,6 +27,8 @@
     pub conn: Conn,
     /// When it was opened.
     pub opened: Time,
+    /// Whether a health check was sent over it.
+    pub is_checked: bool,
     /// Reference count of the target's connections; see
     /// [`crate::entry::target::targets::TargetState::connections`].
     pub _token: Arc<()>,
--- a/src/entry/target/probe.rs
+++ b/src/entry/target/probe.rs
@@ -219,10 +219,13 @@
     let conn = TargetConn {
         conn,
         opened,
+        is_checked: true,
         _token: target.token.clone(),
     };
     let meta = wire::response_meta(response.status, &response.headers);
-    shared.pool.put(now, &target.id, conn, meta.idle_for);
+    if response.status == 200 {
+        shared.pool.put(now, &target.id, conn, meta.idle_for);
+    }
     shared.capacity_freed.notify_waiters();
     PathState::Open
 }
@@ -297,7 +300,13 @@
         max_response_bytes: MAX_RESPONSE_BYTES,
         memory: None,
     };
-    conn.exchange(&outgoing, |_| true).await
+    // A response with an id is a late copy of one to a request.
+    let matches_check = |response: &Response| {
+        wire::response_meta(response.status, &response.headers)
+            .id
+            .is_none()
+    };
+    conn.exchange(&outgoing, matches_check).await
 }
 
 /// Records what a target says of itself in the response to a health check; returns whether
