Answer connections that wait to be accepted when a stop closes them

Cause: at the close of a planned stop, connections in the accept queue were reset with the listener, and those accepted a moment before were closed before their first request could be read. Change: the queue is accepted first, for at most 0.2 s, and a connection that has sent nothing yet has 0.3 s for its first request; the process waits for the queue before it looks for open connections.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -7,9 +7,10 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use tokio::net::{TcpListener, TcpSocket, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 use crate::entry::fleet::{peers, sync};
 use crate::entry::metrics::EntryMetrics;
@@ -34,6 +35,10 @@
 const EXIT_AT_FRACTION: f64 = 0.93;
 /// Interval at which the shutdown checks whether all connections have ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time without a new connection after which none waits to be accepted any more.
+const LAST_ACCEPT_WAIT: Duration = Duration::from_millis(20);
+/// Maximum time for which connections that wait at the close are accepted.
+const LAST_ACCEPT_TIME: Duration = Duration::from_millis(200);
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a
 /// busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -79,7 +84,7 @@
     tokio::spawn(sync::run(shared.clone()));
     tokio::spawn(sync::register(shared.clone()));
     tokio::spawn(reload::run(shared.clone(), path.to_owned()));
-    listen_callers(&shared, listeners.callers, &shutdown, &open_connections);
+    let accepting = listen_callers(&shared, listeners.callers, &shutdown, &open_connections);
     listen_endpoint(
         &shared,
         listeners.readiness,
@@ -99,7 +104,11 @@
         endpoints::serve_operator,
     );
     wait_for_signal().await?;
-    drain(&shared, &socket, &shutdown_tx, &open_connections, grace).await;
+    let callers = Callers {
+        accepting,
+        open_connections: &open_connections,
+    };
+    drain(&shared, &socket, &shutdown_tx, callers, grace).await;
     Ok(())
 }
 
@@ -152,7 +161,7 @@
     listener: TcpListener,
     shutdown: &watch::Receiver<ShutdownPhase>,
     open_connections: &Arc<AtomicUsize>,
-) {
+) -> JoinHandle<()> {
     let handler_shared = shared.clone();
     let limits_shared = shared.clone();
     let ahead_shared = shared.clone();
@@ -177,7 +186,7 @@
         listener,
         Arc::new(context),
         open_connections.clone(),
-    ));
+    ))
 }
 
 fn listen_endpoint(
@@ -212,7 +221,8 @@
     tokio::spawn(accept(listener, Arc::new(context), Arc::default()));
 }
 
-/// Accepts connections until shutdown closes the listener.
+/// Accepts connections until shutdown closes the listener, and then those that wait to be
+/// accepted, which the close would reset.
 async fn accept<H, F>(
     listener: TcpListener,
     context: Arc<ServerContext<H>>,
@@ -225,23 +235,41 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = shutdown.wait_for(|phase| *phase >= ShutdownPhase::Closing) => return,
+            _ = shutdown.wait_for(|phase| *phase >= ShutdownPhase::Closing) => break,
         };
         match accepted {
-            Ok((stream, peer)) => {
-                let context = context.clone();
-                let guard = ConnectionGuard::new(open_connections.clone());
-                tokio::spawn(async move {
-                    server::serve(stream, peer, &context).await;
-                    drop(guard);
-                });
-            }
+            Ok((stream, peer)) => spawn_connection(stream, peer, &context, &open_connections),
             Err(err) => {
                 tracing::warn!(%err, "failed to accept a connection");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    let started = Instant::now();
+    while started.elapsed() < LAST_ACCEPT_TIME {
+        let accepting = tokio::time::timeout(LAST_ACCEPT_WAIT, listener.accept());
+        let Ok(Ok((stream, peer))) = accepting.await else {
+            return;
+        };
+        spawn_connection(stream, peer, &context, &open_connections);
+    }
+}
+
+fn spawn_connection<H, F>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    context: &Arc<ServerContext<H>>,
+    open_connections: &Arc<AtomicUsize>,
+) where
+    H: Fn(Request, SocketAddr) -> F + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send,
+{
+    let context = context.clone();
+    let guard = ConnectionGuard::new(open_connections.clone());
+    tokio::spawn(async move {
+        server::serve(stream, peer, &context).await;
+        drop(guard);
+    });
 }
 
 struct ConnectionGuard(Arc<AtomicUsize>);
@@ -270,6 +298,14 @@
     Ok(())
 }
 
+/// The connections of callers.
+struct Callers<'a> {
+    /// The task that accepts them.
+    accepting: JoinHandle<()>,
+    /// Number of those that are open.
+    open_connections: &'a AtomicUsize,
+}
+
 /// Removes this instance from the directory, keeps serving until callers use other
 /// instances, and returns when no connection is open or the grace period is nearly
 /// over.
@@ -277,9 +313,10 @@
     shared: &Shared,
     socket: &UdpSocket,
     shutdown: &watch::Sender<ShutdownPhase>,
-    open_connections: &AtomicUsize,
+    callers: Callers<'_>,
     grace: Duration,
 ) {
+    let open_connections = callers.open_connections;
     let started = Instant::now();
     {
         let mut state = shared.state();
@@ -294,6 +331,9 @@
     );
     tokio::time::sleep(grace.mul_f64(CLOSE_AT_FRACTION)).await;
     shutdown.send_replace(ShutdownPhase::Closing);
+    if let Err(err) = callers.accepting.await {
+        tracing::error!(%err, "the task that accepts connections failed");
+    }
     let end = grace.mul_f64(EXIT_AT_FRACTION);
     while open_connections.load(Ordering::Relaxed) > 0 && started.elapsed() < end {
         tokio::time::sleep(POLL_INTERVAL).await;
--- a/src/entry/run/tests.rs
+++ b/src/entry/run/tests.rs
@@ -1,5 +1,9 @@
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
 use super::*;
 use crate::entry::settings::Tuning;
+use crate::http1::request_body::BodyMemory;
 
 /// The platform's time from SIGTERM to the end of the process.
 const GRACE: Duration = Duration::from_secs(6);
@@ -8,6 +12,7 @@
 const LAST_REQUEST_AFTER: Duration = Duration::from_secs(3);
 /// Some callers keep a directory response this many times its TTL.
 const MAX_TTL_OVERRUN: u32 = 3;
+const GET: &[u8] = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
 
 #[test]
 fn no_request_is_accepted_that_shutdown_could_interrupt() {
@@ -23,3 +28,43 @@
     assert!(GRACE.mul_f64(CLOSE_AT_FRACTION) >= ttl);
     assert!(ttl * MAX_TTL_OVERRUN <= LAST_REQUEST_AFTER);
 }
+
+/// A peer's connections are accepted by the operating system before this process does.
+#[tokio::test]
+async fn requests_that_wait_to_be_accepted_at_the_close_are_answered() {
+    const CONNECTIONS: usize = 20;
+    let listener = bind(([127, 0, 0, 1], 0).into()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut streams = Vec::new();
+    for number in 0..CONNECTIONS {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        if number % 2 == 0 {
+            stream.write_all(GET).await.unwrap();
+        }
+        streams.push(stream);
+    }
+    let (_shutdown, phase) = watch::channel(ShutdownPhase::Closing);
+    let context = ServerContext {
+        handler: |_, _| async { Reply::empty(204) },
+        body_memory: Arc::new(BodyMemory::new(0, 0)),
+        may_run_ahead: Box::new(|_, _| false),
+        limits: Box::new(|| RequestLimits {
+            max_header_bytes: 1024,
+            max_body_bytes: 0,
+            header_timeout: GRACE,
+            idle_timeout: GRACE,
+        }),
+        shutdown: phase,
+    };
+    let open = Arc::new(AtomicUsize::new(0));
+    accept(listener, Arc::new(context), open.clone()).await;
+    assert_eq!(open.load(Ordering::Relaxed), CONNECTIONS);
+    for (number, mut stream) in streams.into_iter().enumerate() {
+        if number % 2 == 1 {
+            stream.write_all(GET).await.unwrap();
+        }
+        let mut response = String::new();
+        stream.read_to_string(&mut response).await.unwrap();
+        assert!(response.starts_with("HTTP/1.1 204"), "{number}: {response}");
+    }
+}
--- a/src/http1/server.rs
+++ b/src/http1/server.rs
@@ -25,6 +25,9 @@
 /// Time for which a closed connection is still read. Closing a socket with unread bytes
 /// resets it, and a reset can destroy a response that is on its way.
 const LINGER: Duration = Duration::from_millis(300);
+/// Time for which a connection that has sent no request yet is kept open when the others are
+/// closed: its first request may be on its way.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
 /// Bytes of pipelined requests that are buffered while a request is handled.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
 /// Time to read the rest of a body whose request has its response. A client that sends
@@ -351,11 +354,22 @@
         idle: Duration,
         shutdown: &mut watch::Receiver<ShutdownPhase>,
     ) -> bool {
-        let closing = shutdown.wait_for(|phase| *phase >= ShutdownPhase::Closing);
+        let grace = if self.total_read == 0 {
+            FIRST_REQUEST_TIME
+        } else {
+            Duration::ZERO
+        };
+        let closing = async {
+            // An error means that the process is ending.
+            let _ = shutdown
+                .wait_for(|phase| *phase >= ShutdownPhase::Closing)
+                .await;
+            tokio::time::sleep(grace).await;
+        };
         tokio::select! {
             biased;
             has_read = self.read(READ_BYTES) => has_read,
-            _ = closing => false,
+            () = closing => false,
             () = tokio::time::sleep(idle) => false,
         }
     }
