--- a/tests/entry_crashes/mod.rs
+++ b/tests/entry_crashes/mod.rs
@@ -1,11 +1,15 @@
 //! Requests that crash each target that runs them.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::entry_cluster::EntryCluster;
 
 /// Crashes after which a request must not be sent to targets any more.
 const MAX_CRASHES: u32 = 3;
+/// Time after the third crash from which few more may arrive; the users' `touch_ms`.
+const TOUCH_TIME: Duration = Duration::from_secs(3);
+/// How many more.
+const MAX_LATE: u32 = 3;
 
 impl EntryCluster {
     /// Makes requests with `crash` in their path take the targets down for a while.
@@ -64,6 +68,35 @@
     assert_eq!(cluster.crashes(), before);
 }
 
+/// As in a day in which part of a route's requests crash every target that runs them: their
+/// callers send them again and again, through all instances.
+#[tokio::test]
+async fn a_request_whose_every_run_crashes_soon_reaches_no_targets() {
+    let cluster = EntryCluster::start(3, 8).await;
+    cluster.crash_targets_for(Duration::from_millis(900));
+    let mut third_at = None;
+    let mut late = 0;
+    for number in 0.. {
+        let id = format!("poison-{number}");
+        let sent_at = Instant::now();
+        cluster.get(number % 3, "/safe/crash", &id).await;
+        cluster.register_targets();
+        if cluster.crashes() >= MAX_CRASHES {
+            third_at.get_or_insert(Instant::now());
+        }
+        let since_third = third_at.map(|at| sent_at.saturating_duration_since(at));
+        if since_third > Some(TOUCH_TIME) {
+            late += cluster.arrivals(&id);
+        }
+        if since_third > Some(2 * TOUCH_TIME) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    cluster.print_logs();
+    assert!(late <= MAX_LATE, "{late} arrivals too late");
+}
+
 /// The other requests on a crashed target break off too, and are retried together with the
 /// one that crashed it.
 #[tokio::test]
