Stop in order when a task that the instance needs panics

Cause: a panic in the task that sends heartbeats, watches the store or follows peers ended only that task; the process went on, ready, with old data. Loads with absurd numbers overflowed: a panic in debug builds, a wrong sum in others. Change: such a panic stops the instance like a signal does, with exit code 3, so that it is started again; sums of loads saturate.

--- a/src/entry/fleet/message.rs
+++ b/src/entry/fleet/message.rs
@@ -73,13 +73,13 @@
                 .load
                 .map_or(100.0, |load| f64::from(load.slowness_percent.max(1)))
         };
-        let occupied = |report: &Self| report.load.map_or(0, |load| load.running + load.waiting);
+        let occupied = |report: &Self| report.load.map_or(0, |load| load.occupied());
         let slots = self.load.map_or(1, |load| load.slots.max(1));
         let ratio = slowness(self) / slowness(sent);
         self.health != sent.health
             || (self.cold_ms == 0) != (sent.cold_ms == 0)
             || !(SLOWNESS_CHANGE.recip()..=SLOWNESS_CHANGE).contains(&ratio)
-            || occupied(self).abs_diff(occupied(sent)) * 2 >= slots
+            || occupied(self).abs_diff(occupied(sent)).saturating_mul(2) >= slots
     }
 }
 
--- a/src/entry/fleet/message/tests.rs
+++ b/src/entry/fleet/message/tests.rs
@@ -54,6 +54,21 @@
     }
 }
 
+/// Targets and peers may send any numbers.
+#[test]
+fn absurd_loads_are_compared_without_overflow() {
+    let absurd = with_load(|load| {
+        *load = Load {
+            running: u32::MAX,
+            waiting: u32::MAX,
+            slots: 0,
+            slowness_percent: u32::MAX,
+        };
+    });
+    assert!(absurd.is_significant_change(&report()));
+    assert!(report().is_significant_change(&absurd));
+}
+
 #[test]
 fn the_largest_heartbeat_fits_a_datagram() {
     let heartbeat = Heartbeat {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 
 use crate::entry::fleet::{peers, sync};
 use crate::entry::metrics::EntryMetrics;
@@ -74,16 +74,17 @@
     let (shutdown_tx, shutdown) = watch::channel(ShutdownPhase::Serving);
     let open_connections = Arc::new(AtomicUsize::new(0));
     let socket = Arc::new(listeners.datagrams);
-    tokio::spawn(peers::receive_datagrams(shared.clone(), socket.clone()));
-    tokio::spawn(peers::run_heartbeats(shared.clone(), socket.clone()));
-    tokio::spawn(peers::serve_requests(
+    let mut tasks = JoinSet::new();
+    tasks.spawn(peers::receive_datagrams(shared.clone(), socket.clone()));
+    tasks.spawn(peers::run_heartbeats(shared.clone(), socket.clone()));
+    tasks.spawn(peers::serve_requests(
         shared.clone(),
         listeners.peer_requests,
     ));
-    tokio::spawn(peers::pull_changes(shared.clone()));
-    tokio::spawn(sync::run(shared.clone()));
-    tokio::spawn(sync::register(shared.clone()));
-    tokio::spawn(reload::run(shared.clone(), path.to_owned()));
+    tasks.spawn(peers::pull_changes(shared.clone()));
+    tasks.spawn(sync::run(shared.clone()));
+    tasks.spawn(sync::register(shared.clone()));
+    tasks.spawn(reload::run(shared.clone(), path.to_owned()));
     let accepting = listen_callers(&shared, listeners.callers, &shutdown, &open_connections);
     listen_endpoint(
         &shared,
@@ -103,13 +104,13 @@
         &shutdown,
         endpoints::serve_operator,
     );
-    wait_for_signal().await?;
+    let ended = wait_for_end(wait_for_signal(), &mut tasks).await;
     let callers = Callers {
         accepting,
         open_connections: &open_connections,
     };
     drain(&shared, &socket, &shutdown_tx, callers, grace).await;
-    Ok(())
+    ended
 }
 
 struct Listeners {
@@ -287,6 +288,31 @@
     }
 }
 
+/// Returns on a signal, or with an error once a task has failed that the instance needs until
+/// its end: one without it would go on with old data. It is then stopped like by a signal, and
+/// started again.
+async fn wait_for_end(
+    signal: impl Future<Output = Result<(), Error>>,
+    tasks: &mut JoinSet<()>,
+) -> Result<(), Error> {
+    let failed = async {
+        loop {
+            match tasks.join_next().await {
+                Some(Err(err)) if err.is_panic() => return err,
+                Some(_) => {}
+                None => std::future::pending().await,
+            }
+        }
+    };
+    tokio::select! {
+        received = signal => received,
+        err = failed => {
+            tracing::error!(%err, "a task that the instance needs failed; shutting down");
+            Err(Error::TaskFailed(err.to_string()))
+        }
+    }
+}
+
 async fn wait_for_signal() -> Result<(), Error> {
     let listen = |kind| signal(kind).map_err(|err| Error::Start(err.to_string()));
     let mut term = listen(SignalKind::terminate())?;
--- a/src/entry/run/tests.rs
+++ b/src/entry/run/tests.rs
@@ -29,6 +29,17 @@
     assert!(ttl * MAX_TTL_OVERRUN <= LAST_REQUEST_AFTER);
 }
 
+/// Others may end by themselves.
+#[tokio::test]
+async fn a_task_that_panics_ends_the_process_in_order() {
+    let mut tasks = JoinSet::new();
+    tasks.spawn(async {});
+    tasks.spawn(async { panic!("on purpose") });
+    let ended = wait_for_end(std::future::pending(), &mut tasks).await;
+    let cause = ended.unwrap_err().to_string();
+    assert!(cause.contains("on purpose"), "{cause}");
+}
+
 /// A peer's connections are accepted by the operating system before this process does.
 #[tokio::test]
 async fn requests_that_wait_to_be_accepted_at_the_close_are_answered() {
--- a/src/entry/target/load.rs
+++ b/src/entry/target/load.rs
@@ -28,3 +28,11 @@
     /// This instance's requests in flight when the report arrived.
     pub own_in_flight: u32,
 }
+
+impl Load {
+    /// Requests that run or wait; targets may report absurd numbers.
+    #[must_use]
+    pub fn occupied(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
--- a/src/entry/target/targets/view.rs
+++ b/src/entry/target/targets/view.rs
@@ -158,7 +158,7 @@
         let Some(load_report) = &self.load_report else {
             return own;
         };
-        let reported = f64::from(load_report.load.running + load_report.load.waiting);
+        let reported = f64::from(load_report.load.occupied());
         (reported + own - f64::from(load_report.own_in_flight)).max(own)
     }
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -60,6 +60,9 @@
     /// The process can't be started, or its output can't be encoded.
     #[display("cannot start: {_0}")]
     Start(#[error(not(source))] String),
+    /// A task that the process needs failed.
+    #[display("a needed task failed: {_0}; start it again, and report the panic in its log")]
+    TaskFailed(#[error(not(source))] String),
 }
 
 impl Error {
@@ -68,7 +71,7 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::ReadFile { .. } | Self::Invalid { .. } => 2,
-            Self::Listen { .. } | Self::Start(_) => 3,
+            Self::Listen { .. } | Self::Start(_) | Self::TaskFailed(_) => 3,
             Self::Unreachable { .. } => 4,
             Self::Refused { .. } => 5,
             Self::Conflict { .. } => 6,
