--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -7,9 +7,10 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use tokio::net::{TcpListener, TcpSocket, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
 
 use crate::entry::fleet::{peers, sync};
 use crate::entry::metrics::EntryMetrics;
@@ -35,6 +36,10 @@
 const EXIT_AT_FRACTION: f64 = 0.93;
 /// Interval at which the shutdown checks whether all connections have ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time without a new connection after which none waits to be accepted any more.
+const LAST_ACCEPT_WAIT: Duration = Duration::from_millis(20);
+/// Maximum time for which connections that wait at the close are accepted.
+const LAST_ACCEPT_TIME: Duration = Duration::from_millis(200);
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a
 /// busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -70,18 +75,19 @@
     let (shutdown_tx, shutdown) = watch::channel(ShutdownPhase::Serving);
     let open_connections = Arc::new(AtomicUsize::new(0));
     let socket = Arc::new(listeners.datagrams);
-    tokio::spawn(peers::receive_datagrams(shared.clone(), socket.clone()));
-    tokio::spawn(peers::run_heartbeats(shared.clone(), socket.clone()));
-    tokio::spawn(peers::serve_requests(
+    let mut tasks = JoinSet::new();
+    tasks.spawn(peers::receive_datagrams(shared.clone(), socket.clone()));
+    tasks.spawn(peers::run_heartbeats(shared.clone(), socket.clone()));
+    tasks.spawn(peers::serve_requests(
         shared.clone(),
         listeners.peer_requests,
     ));
-    tokio::spawn(peers::pull_changes(shared.clone()));
-    tokio::spawn(sync::run(shared.clone()));
-    tokio::spawn(sync::register(shared.clone()));
-    tokio::spawn(holder::run(shared.clone(), socket.clone()));
-    tokio::spawn(reload::run(shared.clone(), path.to_owned()));
-    listen_callers(&shared, listeners.callers, &shutdown, &open_connections);
+    tasks.spawn(peers::pull_changes(shared.clone()));
+    tasks.spawn(sync::run(shared.clone()));
+    tasks.spawn(sync::register(shared.clone()));
+    tasks.spawn(holder::run(shared.clone(), socket.clone()));
+    tasks.spawn(reload::run(shared.clone(), path.to_owned()));
+    let accepting = listen_callers(&shared, listeners.callers, &shutdown, &open_connections);
     listen_endpoint(
         &shared,
         listeners.readiness,
@@ -100,9 +106,13 @@
         &shutdown,
         endpoints::serve_operator,
     );
-    wait_for_signal().await?;
-    drain(&shared, &socket, &shutdown_tx, &open_connections, grace).await;
-    Ok(())
+    let ended = wait_for_end(wait_for_signal(), &mut tasks).await;
+    let callers = Callers {
+        accepting,
+        open_connections: &open_connections,
+    };
+    drain(&shared, &socket, &shutdown_tx, callers, grace).await;
+    ended
 }
 
 struct Listeners {
@@ -154,7 +164,7 @@
     listener: TcpListener,
     shutdown: &watch::Receiver<ShutdownPhase>,
     open_connections: &Arc<AtomicUsize>,
-) {
+) -> JoinHandle<()> {
     let handler_shared = shared.clone();
     let limits_shared = shared.clone();
     let ahead_shared = shared.clone();
@@ -179,7 +189,7 @@
         listener,
         Arc::new(context),
         open_connections.clone(),
-    ));
+    ))
 }
 
 fn listen_endpoint(
@@ -214,7 +224,8 @@
     tokio::spawn(accept(listener, Arc::new(context), Arc::default()));
 }
 
-/// Accepts connections until shutdown closes the listener.
+/// Accepts connections until shutdown closes the listener, and then those that wait to be
+/// accepted, which the close would reset.
 async fn accept<H, F>(
     listener: TcpListener,
     context: Arc<ServerContext<H>>,
@@ -227,23 +238,41 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = shutdown.wait_for(|phase| *phase >= ShutdownPhase::Closing) => return,
+            _ = shutdown.wait_for(|phase| *phase >= ShutdownPhase::Closing) => break,
         };
         match accepted {
-            Ok((stream, peer)) => {
-                let context = context.clone();
-                let guard = ConnectionGuard::new(open_connections.clone());
-                tokio::spawn(async move {
-                    server::serve(stream, peer, &context).await;
-                    drop(guard);
-                });
-            }
+            Ok((stream, peer)) => spawn_connection(stream, peer, &context, &open_connections),
             Err(err) => {
                 tracing::warn!(%err, "failed to accept a connection");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    let started = Instant::now();
+    while started.elapsed() < LAST_ACCEPT_TIME {
+        let accepting = tokio::time::timeout(LAST_ACCEPT_WAIT, listener.accept());
+        let Ok(Ok((stream, peer))) = accepting.await else {
+            return;
+        };
+        spawn_connection(stream, peer, &context, &open_connections);
+    }
+}
+
+fn spawn_connection<H, F>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    context: &Arc<ServerContext<H>>,
+    open_connections: &Arc<AtomicUsize>,
+) where
+    H: Fn(Request, SocketAddr) -> F + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send,
+{
+    let context = context.clone();
+    let guard = ConnectionGuard::new(open_connections.clone());
+    tokio::spawn(async move {
+        server::serve(stream, peer, &context).await;
+        drop(guard);
+    });
 }
 
 struct ConnectionGuard(Arc<AtomicUsize>);
@@ -261,6 +290,31 @@
     }
 }
 
+/// Returns on a signal, or with an error once a task has failed that the instance needs until
+/// its end: one without it would go on with old data. It is then stopped like by a signal, and
+/// started again.
+async fn wait_for_end(
+    signal: impl Future<Output = Result<(), Error>>,
+    tasks: &mut JoinSet<()>,
+) -> Result<(), Error> {
+    let failed = async {
+        loop {
+            match tasks.join_next().await {
+                Some(Err(err)) if err.is_panic() => return err,
+                Some(_) => {}
+                None => std::future::pending().await,
+            }
+        }
+    };
+    tokio::select! {
+        received = signal => received,
+        err = failed => {
+            tracing::error!(%err, "a task that the instance needs failed; shutting down");
+            Err(Error::TaskFailed(err.to_string()))
+        }
+    }
+}
+
 async fn wait_for_signal() -> Result<(), Error> {
     let listen = |kind| signal(kind).map_err(|err| Error::Start(err.to_string()));
     let mut term = listen(SignalKind::terminate())?;
@@ -272,6 +326,14 @@
     Ok(())
 }
 
+/// The connections of callers.
+struct Callers<'a> {
+    /// The task that accepts them.
+    accepting: JoinHandle<()>,
+    /// Number of those that are open.
+    open_connections: &'a AtomicUsize,
+}
+
 /// Removes this instance from the directory, keeps serving until callers use other
 /// instances, and returns when no connection is open or the grace period is nearly
 /// over.
@@ -279,9 +341,10 @@
     shared: &Shared,
     socket: &UdpSocket,
     shutdown: &watch::Sender<ShutdownPhase>,
-    open_connections: &AtomicUsize,
+    callers: Callers<'_>,
     grace: Duration,
 ) {
+    let open_connections = callers.open_connections;
     let started = Instant::now();
     {
         let mut state = shared.state();
@@ -296,6 +359,9 @@
     );
     tokio::time::sleep(grace.mul_f64(CLOSE_AT_FRACTION)).await;
     shutdown.send_replace(ShutdownPhase::Closing);
+    if let Err(err) = callers.accepting.await {
+        tracing::error!(%err, "the task that accepts connections failed");
+    }
     let end = grace.mul_f64(EXIT_AT_FRACTION);
     while open_connections.load(Ordering::Relaxed) > 0 && started.elapsed() < end {
         tokio::time::sleep(POLL_INTERVAL).await;
