Follow a rise of the request rate sooner when the sample's share is chosen

Cause: a share of 40 % chosen for a service without requests would have passed the limits when they came; a lower share waited for 1.2 s, and for a mean of 3 s. The rate is that of the slice with most requests of the last seconds, nothing is raised without responses, and a share is lowered as soon as its reports are in.

--- a/src/rollout/history.rs
+++ b/src/rollout/history.rs
@@ -255,16 +255,17 @@
         targets
     }
 
-    /// Responses of both versions a second, lately.
+    /// Responses of both versions a second, in that recent slice that has most.
     #[must_use]
-    pub fn rate(&self, now: Time) -> f64 {
-        let responses: u32 = self
-            .recent_slices()
-            .map(|slice| slice.pair(Scope::All))
-            .map(|pair| pair.old.total().saturating_add(pair.new.total()))
-            .sum();
-        let length = now.since(self.recent_start()).max(SLICE);
-        f64::from(responses) / length.as_secs_f64()
+    pub fn peak_rate(&self, now: Time) -> f64 {
+        let closed = self.recent.iter().map(|(end, slice)| (*end, slice));
+        let rates = closed.chain([(now, &self.open)]).map(|(end, slice)| {
+            let pair = slice.pair(Scope::All);
+            let responses = pair.old.total().saturating_add(pair.new.total());
+            let length = end.since(slice.start).max(SLICE);
+            f64::from(responses) / length.as_secs_f64()
+        });
+        rates.fold(0.0, f64::max)
     }
 
     fn recent_slices(&self) -> impl Iterator<Item = &Slice> {
--- a/src/rollout/history/tests.rs
+++ b/src/rollout/history/tests.rs
@@ -76,6 +76,6 @@
     let recent = history.targets(Window::Recent, Scope::All)[&7];
     assert!((3..=4).contains(&recent.total()), "{recent:?}");
     assert_eq!(history.targets(Window::Whole, Scope::All)[&7].total(), 10);
-    let rate = history.rate(Time::from_secs(10));
+    let rate = history.peak_rate(Time::from_secs(10));
     assert!((20.0..=22.0).contains(&rate), "{rate}");
 }
--- a/src/rollout/judge.rs
+++ b/src/rollout/judge.rs
@@ -87,9 +87,11 @@
 /// Time between two calls of [`Judge::decide`] after which the process must have been
 /// suspended, and reports are missing.
 const MAX_PAUSE: Duration = Duration::from_secs(1);
-/// Time after the order from which the rate of requests is known, and between two
-/// changes of the sample's share.
+/// Time after the order, and after a change of the sample's share, from which the rate of
+/// requests is known well enough to raise the share.
 const SHARE_TIME: Duration = Duration::from_millis(1200);
+/// Responses without which nothing is known of the rate.
+const MIN_RATE_RESPONSES: f64 = 3.0;
 /// Ratio from which a change of the sample's share is worth a write.
 const SHARE_CHANGE: f64 = 1.25;
 
@@ -383,7 +385,7 @@
     /// until then, so that it doesn't matter what comes after.
     fn adjust_share(&self, now: Time, percent: u8, in_force: Duration) -> Option<Decided> {
         let elapsed = now.since(self.ordered_at);
-        if elapsed < SHARE_TIME || in_force < SHARE_TIME {
+        if elapsed < SHARE_TIME || in_force < self.settings.report_time {
             return None;
         }
         let total = self.history.total(Scope::All);
@@ -391,7 +393,7 @@
         // Responses are known some time after their requests.
         let reported = elapsed.saturating_sub(self.settings.report_time);
         let mean_rate = known / reported.as_secs_f64().max(f64::EPSILON);
-        let rate = self.history.rate(now).max(mean_rate).max(f64::EPSILON);
+        let rate = self.history.peak_rate(now).max(mean_rate).max(f64::EPSILON);
         let unknown = rate * self.settings.report_time.as_secs_f64();
         let sent = f64::from(total.new.total()) + unknown * f64::from(percent) / 100.0;
         let all = known + unknown;
@@ -407,7 +409,9 @@
         let most = f64::from(percent) / 100.0 * MAX_SHARE_STEP;
         let next = sample_percent(wanted.min(allowed).min(most));
         let (next_share, now_share) = (f64::from(next), f64::from(percent));
-        let raise = next_share > now_share * SHARE_CHANGE && left > SHARE_TIME * 2;
+        let may_raise =
+            in_force >= SHARE_TIME && left > SHARE_TIME * 2 && known >= MIN_RATE_RESPONSES;
+        let raise = may_raise && next_share > now_share * SHARE_CHANGE;
         let lower = next_share * SHARE_CHANGE < now_share;
         (raise || lower).then(|| Decided::new(Stage::Running(next), Reason::Rate(rate)))
     }
--- a/src/rollout/judge/replay.rs
+++ b/src/rollout/judge/replay.rs
@@ -14,6 +14,7 @@
 const PROPAGATION: f64 = 0.3;
 const REPORT_TICKS: usize = 5;
 const DECIDE_TICKS: usize = 2;
+const GOLDEN_RATIO_FRACTION: f64 = 0.618_033_988_749_894_8;
 const SERVICE_TIME: f64 = 0.3;
 /// Length of a spell in which a target is several times slower.
 const SPELL: f64 = 0.5;
@@ -67,6 +68,8 @@
     /// Time in which the judge is suspended.
     pub suspended: (f64, f64),
     pub slots_per_target: [f64; 2],
+    /// From when on there are so many times as many requests.
+    pub surge: (f64, f64),
 }
 
 impl Default for Replay {
@@ -89,6 +92,7 @@
             takeovers: Vec::new(),
             suspended: (0.0, 0.0),
             slots_per_target: [4.0, 4.0],
+            surge: (0.0, 1.0),
         }
     }
 }
@@ -112,6 +116,25 @@
     pub decide: Duration,
 }
 
+/// One run of an instance.
+struct Run {
+    number: u64,
+    evidence: OwnEvidence,
+    /// Of its sequence that draws the sample.
+    phase: f64,
+}
+
+impl Run {
+    fn new(rng: &mut StdRng) -> Self {
+        let number = rng.random();
+        Self {
+            number,
+            evidence: OwnEvidence::new("lookup".into(), "v2".into(), number),
+            phase: rng.random(),
+        }
+    }
+}
+
 struct Attempt {
     due: f64,
     instance: usize,
@@ -125,8 +148,7 @@
 impl Replay {
     pub fn run(&self) -> Outcome {
         let mut rng = StdRng::seed_from_u64(self.seed);
-        let mut runs: Vec<(u64, OwnEvidence)> =
-            (0..self.instances).map(|_| new_run(&mut rng)).collect();
+        let mut runs: Vec<Run> = (0..self.instances).map(|_| Run::new(&mut rng)).collect();
         let mut judge = self.judge();
         let mut takeovers = self.takeovers.clone();
         let mut running: Vec<Attempt> = Vec::new();
@@ -154,11 +176,11 @@
                 }
                 !due
             });
-            owed += self.rate * TICK * rng.random_range(0.5..1.5);
+            owed += self.requests_of_tick(&mut rng, now);
             while owed >= 1.0 {
                 owed -= 1.0;
                 all += 1.0;
-                let attempt = self.attempt(&mut rng, now, followed, &runs);
+                let attempt = self.attempt(&mut rng, now, followed, &mut runs);
                 if attempt.side == Side::New {
                     new += 1.0;
                 }
@@ -171,9 +193,9 @@
                 }
             }
             for attempt in running.extract_if(.., |attempt| attempt.due <= now) {
-                let (run, evidence) = &mut runs[attempt.instance];
-                if *run == attempt.run {
-                    evidence.record(
+                let run = &mut runs[attempt.instance];
+                if run.number == attempt.run {
+                    run.evidence.record(
                         attempt.side,
                         attempt.route,
                         attempt.target,
@@ -183,7 +205,7 @@
             }
             if rng.random_bool((self.restarts * TICK).min(1.0)) {
                 let instance = rng.random_range(0..self.instances);
-                runs[instance] = new_run(&mut rng);
+                runs[instance] = Run::new(&mut rng);
             }
             if takeovers.first().is_some_and(|at| *at <= now) {
                 takeovers.remove(0);
@@ -193,10 +215,10 @@
                 continue;
             }
             let time = Time::from_micros((now * 1e6) as u64);
-            for (instance, (_, evidence)) in runs.iter_mut().enumerate() {
+            for (instance, run) in runs.iter_mut().enumerate() {
                 let due = (tick + instance) % REPORT_TICKS == 0;
                 if due && !rng.random_bool(self.lost_reports) {
-                    outcome.receive += receive_twice(&mut judge, time, evidence);
+                    outcome.receive += receive_twice(&mut judge, time, &mut run.evidence);
                     received += 1;
                 }
             }
@@ -224,6 +246,12 @@
         outcome
     }
 
+    fn requests_of_tick(&self, rng: &mut StdRng, now: f64) -> f64 {
+        let (from, factor) = self.surge;
+        let factor = if now >= from { factor } else { 1.0 };
+        self.rate * factor * TICK * rng.random_range(0.5..1.5)
+    }
+
     fn judge(&self) -> Judge {
         let order = RolloutOrder {
             service: "lookup".into(),
@@ -248,19 +276,16 @@
         }
     }
 
-    fn attempt(
-        &self,
-        rng: &mut StdRng,
-        now: f64,
-        stage: Stage,
-        runs: &[(u64, OwnEvidence)],
-    ) -> Attempt {
+    fn attempt(&self, rng: &mut StdRng, now: f64, stage: Stage, runs: &mut [Run]) -> Attempt {
         let share = match stage {
             Stage::Running(percent) => f64::from(percent) / 100.0,
             Stage::Completed => 1.0,
             Stage::RolledBack => 0.0,
         };
-        let side = if self.new_targets > 0 && rng.random_bool(share) {
+        let instance = rng.random_range(0..runs.len());
+        let run = &mut runs[instance];
+        run.phase = (run.phase + GOLDEN_RATIO_FRACTION).fract();
+        let side = if self.new_targets > 0 && run.phase < share {
             Side::New
         } else {
             Side::Old
@@ -295,11 +320,10 @@
             Response::Slow => 5.0,
             Response::Failed => 0.3,
         };
-        let instance = rng.random_range(0..runs.len());
         Attempt {
             due: now + SERVICE_TIME * slowdown * rng.random_range(0.5..1.5),
             instance,
-            run: runs[instance].0,
+            run: run.number,
             side,
             route,
             target,
@@ -318,11 +342,6 @@
     time
 }
 
-fn new_run(rng: &mut StdRng) -> (u64, OwnEvidence) {
-    let run = rng.random();
-    (run, OwnEvidence::new("lookup".into(), "v2".into(), run))
-}
-
 fn fraction_of(key: impl std::hash::Hash) -> f64 {
     use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
     let hash = BuildHasherDefault::<DefaultHasher>::default().hash_one(key);
--- a/src/rollout/judge/tests.rs
+++ b/src/rollout/judge/tests.rs
@@ -317,8 +317,8 @@
     }
 }
 
-/// Under takeovers, pauses, lost reports, and restarts as frequent as each instance's
-/// every few seconds.
+/// Under takeovers, pauses, lost reports, restarts as frequent as each instance's every
+/// few seconds, and three times as many requests from some time on.
 #[test]
 fn a_sample_keeps_the_limits_and_terminal_stages_stay() {
     arbtest::arbtest(|u| {
@@ -337,6 +337,7 @@
             lost_reports: f64::from(u.int_in_range(0..=5_u32)?) / 10.0,
             suspended: (from, from + f64::from(u.int_in_range(0..=3_u32)?)),
             takeovers,
+            surge: (times(u)?, f64::from(u.int_in_range(1..=3_u32)?)),
             new_ill: vec![Ill {
                 from: times(u)?,
                 ..Ill::HALF_FAILS
