--- a/src/rollout/judge/tests.rs
+++ b/src/rollout/judge/tests.rs
@@ -352,6 +352,31 @@
     .budget_ms(4_000);
 }
 
+/// Under restarts, lost reports, and a takeover by a judge that knows nothing. One that
+/// comes later than 2.5 s before the end may complete it late.
+#[test]
+fn a_good_version_is_completed_in_time() {
+    arbtest::arbtest(|u| {
+        let takeover = f64::from(u.int_in_range(0..=110_u32)?) / 10.0;
+        let replay = Replay {
+            seed: u.arbitrary()?,
+            rate: f64::from(u.int_in_range(30..=150_u32)?),
+            instances: u.int_in_range(4..=20)?,
+            restarts: f64::from(u.int_in_range(0..=10_u32)?) / 10.0,
+            lost_reports: f64::from(u.int_in_range(0..=3_u32)?) / 10.0,
+            failing: 0.0,
+            spells: 0.0,
+            takeovers: vec![takeover],
+            ..Replay::default()
+        };
+        let outcome = replay.run();
+        let completed = outcome.stage == Stage::Completed && outcome.at <= replay.duration;
+        assert!(completed, "{replay:?}: {:#?}", outcome.log);
+        Ok(())
+    })
+    .budget_ms(3_000);
+}
+
 /// The cost of a second's reports and decisions, printed for comparison.
 #[test]
 fn cost_at_300_instances() {
