--- a/src/rollout/judge.rs
+++ b/src/rollout/judge.rs
@@ -90,6 +90,9 @@
 /// Time after the order, and after a change of the sample's share, from which the rate of
 /// requests is known well enough to raise the share.
 const SHARE_TIME: Duration = Duration::from_millis(1200);
+/// Minimum time for which the rest of the slack is to last: that of three times as many
+/// requests for the two seconds until this is known.
+const MIN_SLACK_TIME: Duration = Duration::from_secs(6);
 /// Responses without which nothing is known of the rate.
 const MIN_RATE_RESPONSES: f64 = 3.0;
 /// Ratio from which a change of the sample's share is worth a write.
@@ -398,7 +401,7 @@
         let sent = f64::from(total.new.total()) + unknown * f64::from(percent) / 100.0;
         let all = known + unknown;
         let left = self.schedule.part.saturating_sub(elapsed);
-        let left_seconds = left.max(SHARE_TIME).as_secs_f64();
+        let left_seconds = left.max(MIN_SLACK_TIME).as_secs_f64();
         let [share, slack] = self.settings.used_limits;
         let (share, slack) = (share * self.limits.share, slack * self.limits.slack);
         let allowed = share + (slack + share * all - sent) / (rate * left_seconds);
--- a/src/rollout/judge/tests.rs
+++ b/src/rollout/judge/tests.rs
@@ -352,6 +352,28 @@
     .budget_ms(4_000);
 }
 
+/// A case that the property above found when the slack could be used up within a second.
+#[test]
+fn a_surge_before_a_takeover_stays_within_the_limits() {
+    let replay = Replay {
+        seed: 2_260_528_101_648_439_994,
+        rate: 35.0,
+        instances: 6,
+        lost_reports: 0.5,
+        restarts: 0.5,
+        takeovers: vec![6.6, 11.3],
+        suspended: (0.6, 2.6),
+        surge: (5.7, 3.0),
+        ..replay_with(Ill {
+            from: 11.7,
+            ..Ill::HALF_FAILS
+        })
+    };
+    let outcome = replay.run();
+    println!("{:.1} requests beyond the share", outcome.excess);
+    assert!(outcome.excess <= 50.0, "{:#?}", outcome.log);
+}
+
 /// Under restarts, lost reports, and a takeover by a judge that knows nothing. One that
 /// comes later than 2.5 s before the end may complete it late.
 #[test]
