--- a/src/entry/request/forward.rs
+++ b/src/entry/request/forward.rs
@@ -12,23 +12,27 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use http::HeaderMap;
 
 use self::queue_place::QueuePlace;
+use crate::account::{Account, AccountCounts};
 use crate::entry::model::{RetrySafety, Route};
-use crate::entry::request::attempt::{AttemptPlan, CompletedAttempt, OutboundRequest};
+use crate::entry::request::attempt::{AttemptPlan, CompletedAttempt};
 use crate::entry::request::fingerprint::RequestFingerprints;
 use crate::entry::request::hedge::{self, Progress};
+use crate::entry::request::outbound::OutboundRequest;
 use crate::entry::request::outcome::{
-    DEFAULT_RETRY_AFTER, Outcome, RETRY_AFTER_ELSEWHERE, Refusal, reply,
+    DEFAULT_RETRY_AFTER, Outcome, RETRY_AFTER_ELSEWHERE, Refusal, implies_not_run, reply,
 };
 use crate::entry::request::retry::{self, AttemptHistory, AttemptOutcome, NextStep};
 use crate::entry::request::upload::{self, UploadSettings};
+use crate::entry::request::wait_queue::Flow;
 use crate::entry::shared::Shared;
 use crate::entry::target::placement::{self, Requirements};
 use crate::entry::target::selection::{ChosenTarget, NoTarget};
 use crate::http1::client::Response;
 use crate::http1::server::{Reply, Request};
-use crate::names::{ServiceName, TargetId};
+use crate::names::{CallerName, ServiceName, TargetId};
 use crate::platform::prepared::wire;
 use crate::units::Time;
 
@@ -47,8 +51,10 @@
     let meta = wire::request_meta(&req.headers);
     let id: Arc<str> = meta.id.as_deref().unwrap_or_default().into();
     let started = req.received;
+    let mut account = None;
     let (outcome, reply) = match shared.admit(&req) {
         Ok(admitted) => {
+            account.clone_from(&admitted.account);
             let left = meta.deadline.unwrap_or(admitted.route.timeout);
             let timeout = left.min(admitted.route.timeout);
             let identity = RequestIdentity::of(&req);
@@ -59,7 +65,7 @@
                 outbound: Arc::new(OutboundRequest::new(
                     req,
                     meta,
-                    admitted.route.name.clone(),
+                    &admitted,
                     started + timeout,
                 )),
                 deadline: started + timeout,
@@ -80,10 +86,20 @@
     shared
         .metrics
         .record_request(&outcome.to_string(), started.elapsed());
+    let account = account.as_ref().map(|account| &account.name);
+    if let Some(account) = account {
+        let counts = AccountCounts {
+            requests: 0,
+            answered: (outcome == Outcome::Answered).into(),
+            refused: implies_not_run(reply.status).into(),
+        };
+        shared.state().account_usage.add(account, counts);
+    }
     if !matches!(outcome, Outcome::Answered) {
         tracing::info!(
             request = &*id,
             %outcome,
+            account = account.map(CallerName::as_str),
             status = reply.status,
             version = shared.state().status.version,
             took_ms = millis(started.elapsed()),
@@ -93,6 +109,17 @@
     reply
 }
 
+/// Whether a request may run before earlier ones of its connection are answered: it is
+/// idempotent.
+pub(crate) fn may_run_ahead(shared: &Shared, target: &str, headers: &HeaderMap) -> bool {
+    let path = target.split('?').next().unwrap_or_default();
+    let state = shared.state();
+    state
+        .routes
+        .find(host(headers), path)
+        .is_some_and(|route| route.retry_safety == RetrySafety::Safe)
+}
+
 /// A request with its route and service.
 #[derive(Debug)]
 pub(crate) struct AdmittedRequest {
@@ -102,6 +129,33 @@
     pub service: ServiceName,
     /// Version of the configuration in force at admission.
     pub version: u64,
+    /// Whether requests need the key of an account, except on public routes.
+    pub uses_accounts: bool,
+    /// Client account whose key the request has. On a public route it may have none.
+    pub account: Option<Arc<Account>>,
+}
+
+impl AdmittedRequest {
+    /// Priority of the account, or else of the route; 0 is the most urgent.
+    fn priority(&self) -> u32 {
+        let account = self.account.as_ref();
+        let priority = account.and_then(|account| account.priority);
+        priority.unwrap_or(self.route.priority)
+    }
+
+    /// Whose requests it takes turns with while it waits for capacity.
+    fn flow(&self) -> Flow {
+        Flow {
+            priority: self.priority(),
+            account: self.account.as_ref().map(|account| account.name.clone()),
+        }
+    }
+
+    /// Name of the account, for the log.
+    fn account_name(&self) -> Option<&str> {
+        let account = self.account.as_ref();
+        account.map(|account| account.name.as_str())
+    }
 }
 
 type Running<'a> = FuturesUnordered<Pin<Box<dyn Future<Output = CompletedAttempt> + Send + 'a>>>;
@@ -117,7 +171,7 @@
 impl RequestIdentity {
     fn of(req: &Request) -> Self {
         Self {
-            host: host(req).to_owned(),
+            host: host(&req.headers).to_owned(),
             method: req.method.clone(),
             target: req.target.clone(),
         }
@@ -392,10 +446,11 @@
 }
 
 impl Shared {
-    /// Finds the route and service of a request.
+    /// Finds the route, account and service of a request. What is in force now holds for the
+    /// request until its end.
     fn admit(&self, req: &Request) -> Result<AdmittedRequest, Outcome> {
         let now: Time = self.now();
-        let host = host(req);
+        let host = host(&req.headers);
         let path = req.target.split('?').next().unwrap_or_default();
         let mut state = self.state();
         let version = state.status.version;
@@ -407,18 +462,29 @@
             .find(host, path)
             .cloned()
             .ok_or(Outcome::NoRoute)?;
+        let uses_accounts = state.uses_accounts();
+        let account = state.authenticate(now, &route, &req.headers)?;
         let service = state.next_service(&route).ok_or(Outcome::NoRoute)?;
         state.record_request(now, &service);
+        if let Some(account) = &account {
+            let counts = AccountCounts {
+                requests: 1,
+                ..AccountCounts::default()
+            };
+            state.account_usage.add(&account.name, counts);
+        }
         Ok(AdmittedRequest {
             route,
             service,
             version,
+            uses_accounts,
+            account,
         })
     }
 }
 
-fn host(req: &Request) -> &str {
-    req.headers
+fn host(headers: &HeaderMap) -> &str {
+    headers
         .get(http::header::HOST)
         .and_then(|host| host.to_str().ok())
         .unwrap_or_default()
--- a/src/entry/target/selection.rs
+++ b/src/entry/target/selection.rs
@@ -58,6 +58,12 @@
     /// Every remaining target was tried already.
     #[display("every target was tried")]
     AllTried,
+    /// Every usable target wants a pause, which the request can't wait for.
+    #[display("every usable target wants a pause")]
+    Paused {
+        /// Rest of the shortest pause.
+        left: Duration,
+    },
 }
 
 /// Number of targets of a service by what keeps them from accepting a request.
@@ -67,6 +73,7 @@
     full: usize,
     cold: usize,
     limited: usize,
+    paused: usize,
     down: usize,
     without_path: usize,
     evacuated: usize,
@@ -88,6 +95,8 @@
     full: bool,
     /// Whether any target was tried already.
     tried: bool,
+    /// Rest of the shortest pause of a target that was not tried.
+    pause_left: Option<Duration>,
 }
 
 impl State {
@@ -137,9 +146,15 @@
             &self.tuning.placement,
             draw,
         );
+        let is_worth_waiting = |left: Duration| {
+            left.saturating_add(requirements.service_time) <= requirements.objective_left
+        };
         let id = match best {
             Some(index) => classified.ids.swap_remove(index),
-            None if !classified.candidates.is_empty() || classified.full => {
+            None if !classified.candidates.is_empty()
+                || classified.full
+                || classified.pause_left.is_some_and(is_worth_waiting) =>
+            {
                 return Err(NoTarget::NoCapacity);
             }
             // Nothing else is left, and a target that appeared to be down may be back.
@@ -148,6 +163,9 @@
                 classified.down.swap_remove(index)
             }
             None if classified.tried => return Err(NoTarget::AllTried),
+            None if let Some(left) = classified.pause_left => {
+                return Err(NoTarget::Paused { left });
+            }
             None => return Err(NoTarget::NoneUsable),
         };
         self.reserve(now, &id).ok_or(NoTarget::NoneUsable)
@@ -170,7 +188,8 @@
         let allowance = precheck::allowance(max_rate, self.instances(), settings);
         let view = self.targets.run_mut(choice.run)?;
         let is_limited = view.limit.per_second(now).is_some();
-        if is_limited || view.checks.count(now, window) >= allowance {
+        let is_refused = view.sending_refusal(now).is_some();
+        if is_limited || is_refused || view.checks.count(now, window) >= allowance {
             return None;
         }
         view.checks.record(now);
@@ -255,6 +274,10 @@
                 ) => {}
                 Some(UnusableReason::Cold | UnusableReason::Limited) => classified.full = true,
                 _ if is_tried => classified.tried = true,
+                Some(UnusableReason::Paused(left)) => {
+                    let shortest = classified.pause_left.map_or(left, |known| known.min(left));
+                    classified.pause_left = Some(shortest);
+                }
                 _ if view.is_out_of_connections(max_connections) => classified.full = true,
                 Some(UnusableReason::Down) => classified.down.push(view.target.id.clone()),
                 None => {
@@ -279,6 +302,7 @@
             match view.unusable_reason(now, evacuated, |_| 0) {
                 Some(UnusableReason::Leaving) => counts.leaving += 1,
                 Some(UnusableReason::Evacuated) => counts.evacuated += 1,
+                Some(UnusableReason::Paused(_)) => counts.paused += 1,
                 Some(UnusableReason::Down) => counts.down += 1,
                 Some(UnusableReason::NoPath) => counts.without_path += 1,
                 Some(UnusableReason::Cold) => counts.cold += 1,
--- a/src/platform/prepared/wire.rs
+++ b/src/platform/prepared/wire.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::entry::target::load::Load;
+use crate::names::CallerName;
 
 /// Header with the id of one attempt of a client; responses repeat it.
 const REQUEST_ID: &str = "x-request-id";
@@ -26,6 +27,10 @@
 const WARMUP_MS: &str = "x-warmup-ms";
 /// Header with the requests a second that a target accepts from all instances together.
 const LIMIT: &str = "server-limit";
+/// Header of a target that is about to leave, with the value 1.
+const LEAVING: &str = "server-leaving";
+/// Header with the name of the client account whose request it is.
+const ACCOUNT: &str = "x-tenant";
 /// Header of the store's responses with the number of times that it was restored from a
 /// copy.
 const STORE_ERA: &str = "store-era";
@@ -62,6 +67,11 @@
     /// Requests a second that the target accepts from all instances together; `None` if
     /// it names no limit.
     pub limit: Option<f64>,
+    /// Whether the target says that it is leaving. A response with status 421 is another
+    /// target's.
+    pub leaving: bool,
+    /// Time for which the target wants nothing from this instance.
+    pub pause: Option<Duration>,
     /// Time after which the target closes an idle connection.
     pub idle_for: Option<Duration>,
 }
@@ -87,6 +97,10 @@
             .and_then(|value| parse_load(value.to_str().ok()?)),
         cold_for: number(headers, WARMUP_MS).map(Duration::from_millis),
         limit: text(headers, LIMIT).and_then(|value| parse_limit(&value)),
+        leaving: status != 421 && text(headers, LEAVING).is_some_and(|value| value.trim() == "1"),
+        pause: text(headers, http::header::RETRY_AFTER.as_str())
+            .filter(|_| status == 503)
+            .and_then(|value| parse_pause(&value)),
         idle_for: text(headers, "keep-alive").and_then(|value| parse_idle_timeout(&value)),
     }
 }
@@ -110,6 +124,17 @@
     headers.remove(DEADLINE_MS);
 }
 
+/// Appends the name of the request's account, which targets trust.
+pub(crate) fn write_account(buf: &mut BytesMut, account: &CallerName) {
+    buf.extend_from_slice(format!("{ACCOUNT}: {account}\r\n").as_bytes());
+}
+
+/// Removes the caller's key and what it says of its account. Targets get no key.
+pub(crate) fn strip_account_headers(headers: &mut HeaderMap) {
+    headers.remove(http::header::AUTHORIZATION);
+    headers.remove(ACCOUNT);
+}
+
 /// Encodes the body of a directory response, which callers may cache for `ttl`.
 pub(crate) fn directory_body(addresses: &[std::net::SocketAddr], ttl: Duration) -> Vec<u8> {
     #[derive(Serialize)]
@@ -146,6 +171,13 @@
     (rate.is_finite() && rate >= 0.0).then_some(rate)
 }
 
+/// Parses a time in seconds, which may have a fraction; one too long to represent is as long
+/// as possible.
+fn parse_pause(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    (seconds >= 0.0).then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 /// Returns the `timeout` parameter of a `Keep-Alive` header.
 fn parse_idle_timeout(keep_alive: &str) -> Option<Duration> {
     let seconds = keep_alive
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -1,9 +1,11 @@
 //! Entry instances as separate processes, with stand-ins of the prepared platform.
 
+mod entry_accounts;
 mod entry_cluster;
 mod entry_crashes;
 mod entry_leaving;
 mod entry_limits;
+mod entry_pipelining;
 mod entry_restore;
 mod entry_rollouts;
 mod entry_silence;
