Roll a version back whose order is withdrawn before its first decision

Its targets would have been used like all others at once, though nothing was known of the version. Seen while reading the gate again; the unit test of withdrawn orders covers it.

--- a/src/entry/request/forward/queue_place.rs
+++ b/src/entry/request/forward/queue_place.rs
@@ -47,8 +47,7 @@
         }
         let preference = state.preference(now, service, !self.is_drawn);
         self.is_drawn = true;
-        let choice =
-            state.select_target(now, service, &requirements, &call.tried, preference)?;
+        let choice = state.select_target(now, service, &requirements, &call.tried, preference)?;
         if !has_turn {
             let queue = state.wait_queues.entry(service.clone()).or_default();
             queue.record_sent(&flow, requirements.service_time);
--- a/src/rollout/gate.rs
+++ b/src/rollout/gate.rs
@@ -99,6 +99,12 @@
                     .or_insert(false);
             }
         }
+        if let Some((known, _)) = self.unfinished()
+            && ordered != Some(&known.version)
+        {
+            let version = known.version.clone();
+            self.rolled_back.entry(version).or_insert(false);
+        }
         self.order = order.cloned();
         let Some(recorded) = recorded.filter(|recorded| !self.is_outdated(recorded)) else {
             return false;
@@ -271,7 +277,10 @@
     #[must_use]
     pub fn unrecorded(&self, recorded: Option<&RolloutDecision>) -> Option<Unrecorded> {
         let decided = self.decision.as_ref().map(|decision| &decision.version);
-        let version = self.ordered().or(decided)?;
+        let withdrawn = self.rolled_back.last();
+        let withdrawn =
+            withdrawn.and_then(|(version, is_recorded)| (!is_recorded).then_some(version));
+        let version = self.ordered().or(withdrawn).or(decided)?;
         let stage = self.stage(version)?;
         let stored = recorded.filter(|recorded| recorded.version == *version);
         let is_recorded = match stored.map(|stored| stored.stage) {
--- a/src/rollout/gate/tests.rs
+++ b/src/rollout/gate/tests.rs
@@ -82,6 +82,10 @@
         assert_eq!(side(&gate, "v2"), None, "{next:?}");
         assert_eq!(gate.stage(&version("v2")), Some(Stage::RolledBack));
     }
+    // Withdrawn before the first decision.
+    let undecided = gate(&[(Some("v2"), None), (None, None)]);
+    assert_eq!(side(&undecided, "v2"), None);
+    assert_eq!(undecided.unrecorded(None).unwrap().stage, Stage::RolledBack);
     // An instance that starts later finds the decision without its order.
     assert_eq!(side(&gate(&[(None, running)]), "v2"), None);
 }
