--- a/src/entry/endpoints.rs
+++ b/src/entry/endpoints.rs
@@ -130,8 +130,8 @@
         "rejected_records": state.rejected.values().collect::<Vec<_>>(),
         "quarantine": state.quarantine.size(),
         "suspects": state.quarantine.cases(now).collect::<Vec<_>>(),
-        "accounts": accounts(state),
         "rollouts": state.rollouts.iter().map(|(service, rollout)| rollout.dump(service)).collect::<Vec<_>>(),
+        "accounts": accounts(state),
         "targets": targets,
         "peers": peers,
     })
--- a/src/entry/request/attempt.rs
+++ b/src/entry/request/attempt.rs
@@ -126,11 +126,6 @@
         shared.pool.put(shared.now(), &choice.id, conn, None);
         return Err(AttemptError::Blocked);
     }
-    if !shared.state().may_send(shared.now(), choice.run) {
-        shared.pool.put(shared.now(), &choice.id, conn, None);
-        let cause = "a roll-out ended the requests to its version";
-        return Err(AttemptError::Declined(cause.into()));
-    }
     shared.confirm_sending(choice)?;
     let length = outbound.declared_length();
     let head = outbound.encode_head(&choice.id, length);
@@ -291,10 +286,15 @@
 }
 
 impl Shared {
-    /// Confirms that the target was not found to be leaving or paused since it was chosen.
+    /// Confirms that the target was not found to be leaving or paused since it was chosen,
+    /// and that no roll-out ended the requests to its version.
     fn confirm_sending(&self, choice: &ChosenTarget) -> Result<(), AttemptError> {
         let now = self.now();
         let mut state = self.state();
+        if !state.may_send(now, choice.run) {
+            let cause = "a roll-out ended the requests to its version";
+            return Err(AttemptError::Declined(cause.into()));
+        }
         let view = state.targets.run_mut(choice.run);
         match view.and_then(|view| view.sending_refusal(now)) {
             Some(reason) => Err(AttemptError::Declined(format!("{reason:?}"))),
