--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -75,6 +75,7 @@
     let (shutdown_tx, shutdown) = watch::channel(ShutdownPhase::Serving);
     let open_connections = Arc::new(AtomicUsize::new(0));
     let socket = Arc::new(listeners.datagrams);
+    shared.peer_socket.get_or_init(|| socket.clone());
     let mut tasks = JoinSet::new();
     tasks.spawn(peers::receive_datagrams(shared.clone(), socket.clone()));
     tasks.spawn(peers::run_heartbeats(shared.clone(), socket.clone()));
