--- a/src/account/cap.rs
+++ b/src/account/cap.rs
@@ -17,10 +17,10 @@
 /// Time for which an instance may use a token, counted from when it asked for it.
 pub const TOKEN_TTL: Duration = Duration::from_millis(250);
 /// Fraction of the rate that is granted. The rest is for the time in which homes change.
-const RATE_FRACTION: f64 = 0.96;
+const RATE_FRACTION: f64 = 0.93;
 /// Fraction of the slack in each full bucket, so that the few requests of a small account
 /// that come together are served.
-const SLACK_FRACTION: f64 = 0.2;
+const SLACK_FRACTION: f64 = 0.15;
 /// Tokens in the bucket of a new home, if the slack has room for those of several homes
 /// that change in a window.
 const START_TOKENS: f64 = 1.0;
--- a/src/account/cap/tests.rs
+++ b/src/account/cap/tests.rs
@@ -76,7 +76,7 @@
     let first = buckets.grant(SINCE, ACCOUNT, SINCE, &share, 5);
     assert_eq!(first.tokens, 1);
     let full = buckets.grant(after_ms(60_000), ACCOUNT, SINCE, &share, 100);
-    assert_eq!(full.tokens, 14, "30 / 3 + 20 * 0.2");
+    assert_eq!(full.tokens, 13, "30 / 3 + 20 * 0.15");
     // A home that was none for a while starts anew.
     let since = after_ms(61_000);
     assert_eq!(
@@ -93,9 +93,9 @@
     let now = after_ms(60_000);
     let (low, high) = (share(3.0, 3.0), share(300.0, 300.0));
     assert_eq!(buckets.grant(now, ACCOUNT, SINCE, &high, 1).tokens, 1);
-    assert_eq!(buckets.grant(now, ACCOUNT, SINCE, &low, 100).tokens, 5);
+    assert_eq!(buckets.grant(now, ACCOUNT, SINCE, &low, 100).tokens, 4);
     let soon = now.after(Duration::from_millis(100));
-    assert_eq!(buckets.grant(soon, ACCOUNT, SINCE, &high, 100).tokens, 10);
+    assert_eq!(buckets.grant(soon, ACCOUNT, SINCE, &high, 100).tokens, 9);
 }
 
 #[test]
