--- a/src/rollout/judge/tests.rs
+++ b/src/rollout/judge/tests.rs
@@ -317,8 +317,8 @@
     }
 }
 
-/// Under takeovers, pauses, lost reports, and restarts as frequent as each instance's
-/// every few seconds.
+/// Under takeovers, pauses, lost reports, restarts as frequent as each instance's every
+/// few seconds, and three times as many requests from some time on.
 #[test]
 fn a_sample_keeps_the_limits_and_terminal_stages_stay() {
     arbtest::arbtest(|u| {
@@ -337,6 +337,7 @@
             lost_reports: f64::from(u.int_in_range(0..=5_u32)?) / 10.0,
             suspended: (from, from + f64::from(u.int_in_range(0..=3_u32)?)),
             takeovers,
+            surge: (times(u)?, f64::from(u.int_in_range(1..=3_u32)?)),
             new_ill: vec![Ill {
                 from: times(u)?,
                 ..Ill::HALF_FAILS
@@ -351,6 +352,53 @@
     .budget_ms(4_000);
 }
 
+/// A case that the property above found when the slack could be used up within a second.
+#[test]
+fn a_surge_before_a_takeover_stays_within_the_limits() {
+    let replay = Replay {
+        seed: 2_260_528_101_648_439_994,
+        rate: 35.0,
+        instances: 6,
+        lost_reports: 0.5,
+        restarts: 0.5,
+        takeovers: vec![6.6, 11.3],
+        suspended: (0.6, 2.6),
+        surge: (5.7, 3.0),
+        ..replay_with(Ill {
+            from: 11.7,
+            ..Ill::HALF_FAILS
+        })
+    };
+    let outcome = replay.run();
+    println!("{:.1} requests beyond the share", outcome.excess);
+    assert!(outcome.excess <= 50.0, "{:#?}", outcome.log);
+}
+
+/// Under restarts, lost reports, and a takeover by a judge that knows nothing. One that
+/// comes later than 2.5 s before the end may complete it late.
+#[test]
+fn a_good_version_is_completed_in_time() {
+    arbtest::arbtest(|u| {
+        let takeover = f64::from(u.int_in_range(0..=110_u32)?) / 10.0;
+        let replay = Replay {
+            seed: u.arbitrary()?,
+            rate: f64::from(u.int_in_range(30..=150_u32)?),
+            instances: u.int_in_range(4..=20)?,
+            restarts: f64::from(u.int_in_range(0..=10_u32)?) / 10.0,
+            lost_reports: f64::from(u.int_in_range(0..=3_u32)?) / 10.0,
+            failing: 0.0,
+            spells: 0.0,
+            takeovers: vec![takeover],
+            ..Replay::default()
+        };
+        let outcome = replay.run();
+        let completed = outcome.stage == Stage::Completed && outcome.at <= replay.duration;
+        assert!(completed, "{replay:?}: {:#?}", outcome.log);
+        Ok(())
+    })
+    .budget_ms(3_000);
+}
+
 /// The cost of a second's reports and decisions, printed for comparison.
 #[test]
 fn cost_at_300_instances() {
