--- /dev/null
+++ b/src/http1/head.rs
@@ -0,0 +1,114 @@
+//! Heads of requests as they are received, and responses as they are sent.
+
+use bytes::BytesMut;
+use http::HeaderMap;
+
+use super::body::{Framing, declared_framing};
+use super::server::Reply;
+use super::{MAX_HEADERS, connection_lists, header_map, write_headers};
+
+/// Head of a request.
+pub(super) struct Head {
+    pub(super) method: String,
+    pub(super) target: String,
+    pub(super) headers: HeaderMap,
+    pub(super) framing: Framing,
+    pub(super) is_http11: bool,
+}
+
+/// Whether a connection is kept open after a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Persistence {
+    /// It is, as the version implies.
+    Keep,
+    /// It is, and an HTTP/1.0 client that asked for it must be told.
+    KeepAsAsked,
+    /// It is closed.
+    Close,
+}
+
+impl Head {
+    pub(super) fn persistence(&self) -> Persistence {
+        if connection_lists(&self.headers, "close") {
+            Persistence::Close
+        } else if self.is_http11 {
+            Persistence::Keep
+        } else if connection_lists(&self.headers, "keep-alive") {
+            Persistence::KeepAsAsked
+        } else {
+            Persistence::Close
+        }
+    }
+
+    /// Whether the client waits for an interim response before it sends the body.
+    ///
+    /// # Errors
+    /// The status to reject an unknown expectation with.
+    pub(super) fn expects_continue(&self) -> Result<bool, u16> {
+        let Some(value) = self.headers.get(http::header::EXPECT) else {
+            return Ok(false);
+        };
+        if !value.as_bytes().eq_ignore_ascii_case(b"100-continue") {
+            return Err(417);
+        }
+        Ok(self.is_http11)
+    }
+}
+
+/// Parses a request head and returns it with its length; `None` if it is incomplete. An
+/// error is the status to reject the request with.
+pub(super) fn parse_request(buf: &BytesMut) -> Result<Option<(Head, usize)>, u16> {
+    if buf.is_empty() {
+        return Ok(None);
+    }
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut req = httparse::Request::new(&mut headers);
+    match req.parse(buf) {
+        Ok(httparse::Status::Complete(length)) => {
+            let headers = header_map(req.headers).ok_or(400_u16)?;
+            let framing = declared_framing(&headers).map_err(|_| 400_u16)?;
+            let head = Head {
+                method: req.method.unwrap_or_default().to_owned(),
+                target: req.path.unwrap_or_default().to_owned(),
+                headers,
+                framing: framing.unwrap_or(Framing::None),
+                is_http11: req.version == Some(1),
+            };
+            Ok(Some((head, length)))
+        }
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(431),
+        Err(_) => Err(400),
+    }
+}
+
+/// Encodes a response. One to a HEAD request has no body, and declares the length that
+/// the headers of `reply` declare, if any.
+pub(super) fn encode(reply: &Reply, persistence: Persistence, is_head: bool) -> BytesMut {
+    let mut buf = BytesMut::with_capacity(256 + reply.body.len());
+    let reason = http::StatusCode::from_u16(reply.status)
+        .ok()
+        .and_then(|status| status.canonical_reason())
+        .unwrap_or("Unknown");
+    buf.extend_from_slice(format!("HTTP/1.1 {} {reason}\r\n", reply.status).as_bytes());
+    write_headers(&mut buf, &reply.headers);
+    if is_head {
+        if let Some(length) = reply.headers.get(http::header::CONTENT_LENGTH) {
+            buf.extend_from_slice(b"content-length: ");
+            buf.extend_from_slice(length.as_bytes());
+            buf.extend_from_slice(b"\r\n");
+        }
+    } else if reply.status != 204 && reply.status != 304 {
+        buf.extend_from_slice(format!("content-length: {}\r\n", reply.body.len()).as_bytes());
+    }
+    match persistence {
+        Persistence::Keep => {}
+        Persistence::KeepAsAsked => buf.extend_from_slice(b"connection: keep-alive\r\n"),
+        Persistence::Close => buf.extend_from_slice(b"connection: close\r\n"),
+    }
+    buf.extend_from_slice(b"\r\n");
+    if !is_head {
+        buf.extend_from_slice(&reply.body);
+    }
+    buf
+}
--- a/src/http1/pipeline.rs
+++ b/src/http1/pipeline.rs
@@ -5,8 +5,9 @@
 use std::pin::Pin;
 use std::task::Poll;
 
+use super::head::Persistence;
 use super::incoming::IncomingBody;
-use super::server::{Persistence, Reply};
+use super::server::Reply;
 
 /// Requests of one connection that run at a time.
 const MAX_RUNNING: usize = 8;
