Keep an instance from asking itself for tokens without end

Cause: a home without a token answers with a time to come back in whole milliseconds, rounded down. At 0 an instance that is the only home asked itself again at the same moment, in a loop under the lock: the process stood still. Change: times are rounded up, and a home that has no token is not asked again for 1 ms. Result: the new unit test of the leases passes.

--- a/src/account/lease.rs
+++ b/src/account/lease.rs
@@ -16,6 +16,8 @@
 pub const MAX_WAIT: Duration = Duration::from_millis(80);
 /// Time to come back when no home answered: another instance may reach one.
 const RETRY_AFTER_SILENCE: Duration = Duration::from_millis(50);
+/// Shortest time for which a home that has no token is not asked again.
+const MIN_REFUSAL: Duration = Duration::from_millis(1);
 /// Time whose expected demand is asked for at once, less than [`TOKEN_TTL`].
 const PREFETCH: Duration = Duration::from_millis(200);
 /// Time constant of the measured demand.
@@ -220,7 +222,7 @@
         known.question = None;
         known.silent_until = Time::ZERO;
         if grant.tokens == 0 {
-            known.refused_until = now.after(grant.retry_after);
+            known.refused_until = now.after(grant.retry_after.max(MIN_REFUSAL));
             return true;
         }
         known.refused_until = Time::ZERO;
--- a/src/account/lease/tests.rs
+++ b/src/account/lease/tests.rs
@@ -135,3 +135,16 @@
     leases.remove_expired(after_ms(60_000));
     assert!(leases.by_account.is_empty() && leases.open.is_empty());
 }
+
+/// Otherwise an instance that is the only home would ask itself without end.
+#[test]
+fn a_home_that_has_no_token_is_not_asked_again_at_once() {
+    let mut leases = Leases::new(0);
+    leases.begin_wait(NOW, ACCOUNT);
+    let Decision::Ask { number, .. } = leases.next(NOW, ACCOUNT, NOW, 1) else {
+        panic!("not asked");
+    };
+    assert!(leases.receive(NOW, number, none_for_ms(0)));
+    let next = leases.next(NOW, ACCOUNT, NOW, 1);
+    assert_eq!(next, Decision::Wait(after_ms(1)));
+}
--- a/src/entry/fleet/caps.rs
+++ b/src/entry/fleet/caps.rs
@@ -173,7 +173,7 @@
         TokenGrant {
             number: request.number,
             tokens: granted.tokens,
-            retry_after_ms: u16::try_from(granted.retry_after.as_millis()).unwrap_or(u16::MAX),
+            retry_after_ms: whole_millis(granted.retry_after),
         }
     }
 
@@ -221,5 +221,10 @@
     }
 }
 
+/// A duration in milliseconds, rounded up: a token is not there earlier.
+fn whole_millis(duration: Duration) -> u16 {
+    u16::try_from(duration.as_micros().div_ceil(1000)).unwrap_or(u16::MAX)
+}
+
 #[cfg(test)]
 mod tests;
