Let the targets of a roll-out's sample take turns

Change: the sample's targets take turns, from a start that differs between instances. Result: a test of the selection with one open connection passes, and one of the turns.

--- a/src/entry/rollout/targets.rs
+++ b/src/entry/rollout/targets.rs
@@ -71,6 +71,24 @@
         }
     }
 
+    /// The targets that a request of a service may go to, in the order in which they are
+    /// tried.
+    pub(crate) fn pools(&self, service: &ServiceName, preference: Preference) -> Vec<Pool> {
+        let Some(rollout) = self.rollouts.get(service) else {
+            return vec![Pool::All];
+        };
+        let mut pools = Vec::with_capacity(3);
+        for side in preference.sides() {
+            let pool = self.pool(service, *side);
+            if let (Preference::Sample, Pool::Runs(runs)) = (preference, &pool) {
+                let turn = runs.get_index(rollout.gate.sample_turn(runs.len()));
+                pools.extend(turn.map(|run| Pool::Runs([*run].into_iter().collect())));
+            }
+            pools.push(pool);
+        }
+        pools
+    }
+
     /// The targets of one side that get requests of a service.
     pub(crate) fn pool(&self, service: &ServiceName, side: Side) -> Pool {
         let Some(rollout) = self.rollouts.get(service) else {
@@ -161,3 +179,6 @@
     runs.truncate(gate.sample_targets(runs_of(Side::Old).len()));
     runs.into_iter().collect()
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/entry/target/selection.rs
+++ b/src/entry/target/selection.rs
@@ -112,17 +112,14 @@
         preference: Preference,
     ) -> Result<ChosenTarget, NoTarget> {
         let mut refusal = None;
-        for (position, side) in preference.sides().iter().enumerate() {
-            let pool = self.pool(service, *side);
-            let is_last = pool == Pool::All || position + 1 == preference.sides().len();
-            match self.select_in(now, service, requirements, tried, &pool, is_last) {
+        let pools = self.pools(service, preference);
+        for (position, pool) in pools.iter().enumerate() {
+            let is_last = position + 1 == pools.len();
+            match self.select_in(now, service, requirements, tried, pool, is_last) {
                 Ok(choice) => return Ok(choice),
                 Err(_) if is_last && refusal == Some(NoTarget::NoCapacity) => break,
                 Err(reason) => refusal = Some(reason),
             }
-            if is_last {
-                break;
-            }
         }
         Err(refusal.unwrap_or(NoTarget::NoneUsable))
     }
--- a/src/rollout/gate.rs
+++ b/src/rollout/gate.rs
@@ -63,6 +63,8 @@
     /// Runs of targets that ended when a roll-out was completed.
     retired: IndexSet<u64>,
     points: EvenSequence,
+    /// Position among the sample's targets of the one that gets the next request.
+    turn: usize,
 }
 
 impl Gate {
@@ -76,6 +78,7 @@
             rolled_back: IndexMap::new(),
             retired: IndexSet::new(),
             points: EvenSequence::new(start),
+            turn: first_turn(start),
         }
     }
 
@@ -244,6 +247,7 @@
             return self.prefer_later(has_news);
         }
         if self.points.next() * 100.0 < f64::from(share) && has_news {
+            self.turn = self.turn.wrapping_add(1);
             Preference::Sample
         } else {
             Preference::Old
@@ -260,6 +264,13 @@
         }
     }
 
+    /// Which of `count` targets of the sample gets the request that was drawn last. They
+    /// take turns, since a connection that is open already would draw all requests.
+    #[must_use]
+    pub fn sample_turn(&self, count: usize) -> usize {
+        self.turn.checked_rem(count).unwrap_or_default()
+    }
+
     /// Number of targets of the new version that get the sample, beside so many old ones.
     #[must_use]
     #[expect(
@@ -295,5 +306,15 @@
     }
 }
 
+/// A first turn that differs between instances, which send a few requests each.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a part of a thousand"
+)]
+fn first_turn(start: f64) -> usize {
+    (start * 1000.0) as usize
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/rollout/gate/tests.rs
+++ b/src/rollout/gate/tests.rs
@@ -230,3 +230,25 @@
         Ok(())
     });
 }
+
+#[test]
+fn the_targets_of_the_sample_take_turns() {
+    for start in [0.0, 0.37, 0.999] {
+        let mut gate = Gate::new(start);
+        gate.update(
+            Some(&order("v2")),
+            Some(&decision("v2", Stage::Running(50))),
+        );
+        let mut turns = [0; 3];
+        for _ in 0..120 {
+            if gate.prefer_first(true) == Preference::Sample {
+                turns[gate.sample_turn(3)] += 1;
+            }
+        }
+        assert!(
+            turns.iter().all(|count| (15..=25).contains(count)),
+            "{turns:?}"
+        );
+    }
+    assert_eq!(Gate::new(0.5).sample_turn(0), 0);
+}
