Retry requests that broke off together apart from each other

A request beside one that crashes targets was blocked as well when it broke off on three targets without a response in between. Requests that break off together are retried together, mostly on the same target, which the culprit crashes again. A request under suspicion now goes, of the targets that finish it within its objective, to one whose other suspects have the fewest crashes.

--- a/src/entry/request/attempt.rs
+++ b/src/entry/request/attempt.rs
@@ -12,7 +12,7 @@
 use crate::entry::shared::Shared;
 use crate::entry::target::placement::Requirements;
 use crate::entry::target::probe;
-use crate::entry::target::selection::ChosenTarget;
+use crate::entry::target::selection::{ChosenTarget, Reserved};
 use crate::http1::client::{Conn, ExchangeError, OutgoingBody, OutgoingRequest, Response};
 use crate::names::TargetId;
 use crate::platform::prepared::wire;
@@ -70,7 +70,7 @@
 ) -> CompletedAttempt {
     let in_flight = InFlightGuard {
         shared: &shared,
-        run: choice.run,
+        reserved: choice.reserved(),
     };
     let started = Instant::now();
     let mut observed = None;
@@ -97,13 +97,12 @@
 /// Counts a request as in flight at a target until it ends or is cancelled.
 struct InFlightGuard<'a> {
     shared: &'a Shared,
-    /// Key of the target's run.
-    run: u64,
+    reserved: Reserved,
 }
 
 impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
-        self.shared.state().release(self.run);
+        self.shared.state().release(self.reserved);
         self.shared.capacity_freed.notify_waiters();
     }
 }
--- a/src/entry/request/forward.rs
+++ b/src/entry/request/forward.rs
@@ -354,11 +354,11 @@
         let alternative =
             placement::expected_duration(&choice.candidate, service_time, &state.tuning.placement);
         if !hedge::is_worthwhile(current, alternative, requirements.objective_left) {
-            state.release(choice.run);
+            state.release(choice.reserved());
             return None;
         }
         if !state.take_retry(now, service) {
-            state.release(choice.run);
+            state.release(choice.reserved());
             self.hedged = true;
             tracing::info!(
                 request = &*self.outbound.id,
--- a/src/entry/request/retry.rs
+++ b/src/entry/request/retry.rs
@@ -41,11 +41,14 @@
     pub shed: u32,
     /// Attempts that may have run.
     pub ran: u32,
+    /// Those of them without a complete response.
+    pub lost: u32,
 }
 
 impl AttemptHistory {
     /// Records the outcome of an attempt.
     pub fn record(&mut self, outcome: AttemptOutcome) {
+        self.lost += u32::from(outcome == AttemptOutcome::Lost);
         match outcome {
             AttemptOutcome::NotSent => self.unsent += 1,
             AttemptOutcome::Declined => self.declined += 1,
--- a/src/entry/rollout/targets/tests.rs
+++ b/src/entry/rollout/targets/tests.rs
@@ -77,6 +77,7 @@
         service_time: Duration::from_millis(10),
         objective_left: Duration::from_secs(1),
         deadline_left: Duration::from_secs(2),
+        suspicion: 0,
     };
     let mut counts = [0; 2];
     for _ in 0..REQUESTS {
@@ -84,7 +85,7 @@
         let chosen = state
             .select_target(now, &"s".into(), &requirements, &[], preference)
             .unwrap();
-        state.release(chosen.run);
+        state.release(chosen.reserved());
         for (number, count) in counts.iter_mut().enumerate() {
             *count += usize::from(chosen.id.as_str() == format!("new-{number}"));
         }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -34,6 +34,7 @@
 use crate::entry::request::wait_queue::WaitQueue;
 use crate::entry::rollout::Rollouts;
 use crate::entry::settings::{AccountSettings, EntrySettings, Tuning};
+use crate::entry::target::selection::Reserved;
 use crate::entry::target::targets::TargetTable;
 use crate::entry::window::{RetryBudget, RetryBudgetRule, slack_share};
 use crate::names::{ServiceName, TargetId, ZoneName};
@@ -287,11 +288,21 @@
         })
     }
 
-    /// Releases the capacity reserved for a request, at the run of a target that `run`
-    /// identifies, that ended or was never sent.
-    pub(crate) fn release(&mut self, run: u64) {
-        if let Some(view) = self.targets.run_mut(run) {
+    /// Crashes of targets that are attributed to a request.
+    pub(crate) fn suspicion(&self, fingerprints: RequestFingerprints) -> u32 {
+        let crashes = |fingerprint| self.quarantine.crashes(fingerprint);
+        fingerprints.each().map(crashes).max().unwrap_or(0)
+    }
+
+    /// Releases the capacity reserved at a run of a target for a request that ended or was
+    /// never sent.
+    pub(crate) fn release(&mut self, reserved: Reserved) {
+        if let Some(view) = self.targets.run_mut(reserved.run) {
             view.in_flight = view.in_flight.saturating_sub(1);
+            let mut suspects = view.suspects.iter();
+            if let Some(index) = suspects.position(|known| *known == reserved.suspicion) {
+                view.suspects.swap_remove(index);
+            }
         }
     }
 
--- a/src/entry/target/placement.rs
+++ b/src/entry/target/placement.rs
@@ -81,6 +81,8 @@
     pub cold: bool,
     /// Fraction of its recent requests that failed.
     pub failure_rate: f64,
+    /// Crashes attributed to the most suspicious request that it runs for this instance.
+    pub suspicion: u32,
 }
 
 /// What a request requires of its target.
@@ -92,6 +94,8 @@
     pub objective_left: Duration,
     /// Time left to the deadline.
     pub deadline_left: Duration,
+    /// Crashes of targets attributed to the request; at least 1 if it broke off on one.
+    pub suspicion: u32,
 }
 
 /// Whether a target may get another request at all. Beyond this it may hang.
@@ -174,6 +178,11 @@
 /// Targets that finish the request within its objective come first. Without one, the
 /// request goes to a target that has a free slot and finishes before the deadline, even
 /// if late.
+///
+/// Load pattern: requests that broke off together when their target crashed are retried
+/// together, and the one that caused the crash would take the others with it again. Of the
+/// targets that finish a suspect within its objective, it goes to one of those whose other
+/// suspects have the fewest crashes.
 #[must_use]
 pub fn choose(
     candidates: &[Candidate],
@@ -182,6 +191,16 @@
     draw: f64,
 ) -> Option<usize> {
     let in_time = |candidate: &Candidate| finishes_in_time(candidate, requirements, settings);
+    if requirements.suspicion > 0 {
+        let eligible = candidates.iter().filter(|candidate| in_time(candidate));
+        let least = eligible.map(|candidate| candidate.suspicion).min();
+        let apart =
+            |candidate: &Candidate| Some(candidate.suspicion) == least && in_time(candidate);
+        let chosen = cheapest(candidates, apart, settings, draw);
+        if chosen.is_some() {
+            return chosen;
+        }
+    }
     let late = |candidate: &Candidate| {
         candidate.occupied + 1.0 <= candidate.slots
             && expected_duration(candidate, requirements.service_time, settings)
--- a/src/entry/target/placement/tests.rs
+++ b/src/entry/target/placement/tests.rs
@@ -10,6 +10,7 @@
         healthy: true,
         cold: false,
         failure_rate: 0.0,
+        suspicion: 0,
     }
 }
 
@@ -19,6 +20,7 @@
         service_time: Duration::from_millis(100),
         objective_left: Duration::from_millis(300),
         deadline_left: Duration::from_secs(2),
+        suspicion: 0,
     }
 }
 
@@ -184,3 +186,46 @@
     };
     assert_eq!(chosen(&[slow], 0.0), None);
 }
+
+/// As after a crash, when the request that caused it and those beside it are retried.
+#[test]
+fn a_suspect_goes_where_no_request_is_more_suspicious() {
+    let busier = Candidate {
+        occupied: 2.0,
+        same_zone: false,
+        ..idle()
+    };
+    let with_suspect = Candidate {
+        suspicion: 2,
+        ..idle()
+    };
+    let suspect = Requirements {
+        suspicion: 1,
+        ..requirements()
+    };
+    let chosen_for = |targets: &[Candidate], requirements: &Requirements| {
+        choose(targets, requirements, &PlacementSettings::default(), 0.0)
+    };
+    assert_eq!(chosen_for(&[with_suspect, busier], &suspect), Some(1));
+    let less_suspicious = Candidate {
+        suspicion: 1,
+        ..busier
+    };
+    assert_eq!(
+        chosen_for(&[with_suspect, less_suspicious], &suspect),
+        Some(1)
+    );
+    assert_eq!(
+        chosen_for(&[with_suspect, busier], &requirements()),
+        Some(0)
+    );
+    let slow = Candidate {
+        slowness_percent: Some(700.0),
+        ..busier
+    };
+    assert_eq!(
+        chosen_for(&[with_suspect, slow], &suspect),
+        Some(0),
+        "being apart makes no request late"
+    );
+}
--- a/src/entry/target/precheck/tests.rs
+++ b/src/entry/target/precheck/tests.rs
@@ -10,6 +10,7 @@
         healthy: true,
         cold: false,
         failure_rate: 0.0,
+        suspicion: 0,
     }
 }
 
@@ -18,6 +19,7 @@
         service_time: Duration::from_millis(90),
         objective_left: Duration::from_millis(250),
         deadline_left: Duration::from_secs(2),
+        suspicion: 0,
     };
     let placement = PlacementSettings::default();
     let settings = PrecheckSettings::default();
@@ -98,6 +100,7 @@
                 service_time: Duration::from_millis(900),
                 objective_left: Duration::from_secs(2),
                 deadline_left: Duration::from_secs(10),
+                suspicion: 0,
             };
             #[expect(clippy::cast_precision_loss, reason = "a draw below 1")]
             let draw = (number % 97) as f64 / 97.0;
--- a/src/entry/target/selection.rs
+++ b/src/entry/target/selection.rs
@@ -37,6 +37,27 @@
     pub report_age: Option<Duration>,
     /// Which of the versions that a roll-out compares it has; `None` without one.
     pub side: Option<Side>,
+    /// Crashes attributed to the request when it was selected.
+    pub suspicion: u32,
+}
+
+/// Capacity that is reserved for a request at a run of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Reserved {
+    /// Key of the run.
+    pub run: u64,
+    /// Crashes attributed to the request when it was selected.
+    pub suspicion: u32,
+}
+
+impl ChosenTarget {
+    /// The capacity that its selection reserved.
+    pub(crate) fn reserved(&self) -> Reserved {
+        Reserved {
+            run: self.run,
+            suspicion: self.suspicion,
+        }
+    }
 }
 
 /// Why no target was selected.
@@ -165,7 +186,8 @@
             }
             None => return Err(NoTarget::NoneUsable),
         };
-        self.reserve(now, &id).ok_or(NoTarget::NoneUsable)
+        self.reserve(now, &id, requirements.suspicion)
+            .ok_or(NoTarget::NoneUsable)
     }
 
     /// Whether to check a chosen target before a request is sent to it, and the path of
@@ -314,7 +336,7 @@
         counts
     }
 
-    fn reserve(&mut self, now: Time, id: &TargetId) -> Option<ChosenTarget> {
+    fn reserve(&mut self, now: Time, id: &TargetId, suspicion: u32) -> Option<ChosenTarget> {
         let own_zone = self.settings.zone.clone();
         let side = self
             .targets
@@ -323,6 +345,7 @@
         let view = self.targets.get_mut(id)?;
         let choice = ChosenTarget {
             side,
+            suspicion,
             id: id.clone(),
             run: view.key,
             address: view.target.address,
@@ -330,6 +353,9 @@
             report_age: view.load_report.map(|report| now.since(report.at)),
         };
         view.in_flight += 1;
+        if suspicion > 0 {
+            view.suspects.push(suspicion);
+        }
         view.limit.record_sent(now);
         if view.is_cold(now) {
             view.record_cold_request(now);
--- a/src/entry/target/targets/view.rs
+++ b/src/entry/target/targets/view.rs
@@ -39,6 +39,8 @@
     pub key: u64,
     /// Requests of this instance in flight there.
     pub in_flight: u32,
+    /// The crashes attributed to each of them that is suspected of crashing targets.
+    pub suspects: Vec<u32>,
     /// Token cloned by each connection of this instance to it; its reference count
     /// minus one is the number of connections.
     pub connections: Arc<()>,
@@ -98,6 +100,7 @@
             cold_until: now.after(target.cold_for),
             target,
             in_flight: 0,
+            suspects: Vec::new(),
             connections: Arc::new(()),
             load_report: None,
             health: Health::Good,
@@ -319,6 +322,7 @@
             healthy: self.health == Health::Good,
             cold: self.is_cold(now),
             failure_rate: self.current_failure_rate(now),
+            suspicion: self.suspects.iter().copied().max().unwrap_or(0),
         }
     }
 
