Learn how much slower the targets of a service work when they fill

Cause: targets report the slowness of their machine, but not that they slow down when nearly full. So requests queued at full targets and ended late, and running ones seemed stalled and were hedged.

Change: each instance learns the factor by fill from the responses to its own requests, and uses it in the cost, the expected duration and the check for hedges.

--- a/src/entry/endpoints.rs
+++ b/src/entry/endpoints.rs
@@ -86,7 +86,8 @@
         .targets
         .views()
         .map(|view| {
-            let candidate = view.candidate(now, &state.settings.zone);
+            let curve = state.load_curve(&view.target.service);
+            let candidate = view.candidate(now, &state.settings.zone, &curve);
             serde_json::json!({
                 "id": view.target.id,
                 "service": view.target.service,
@@ -103,6 +104,7 @@
                 "in_flight": view.in_flight,
                 "occupied": candidate.occupied,
                 "slowness_percent": candidate.slowness_percent,
+                "load_factor": candidate.load_factor,
                 "report_age_ms": view.load_report.map(|report| millis(now.since(report.at))),
             })
         })
--- a/src/entry/request/attempt.rs
+++ b/src/entry/request/attempt.rs
@@ -359,15 +359,10 @@
             for fingerprint in fingerprints.each() {
                 state.quarantine.record_response(now, fingerprint);
             }
-            let at = &choice.candidate;
-            if let Some(percent) = at.slowness_percent
-                && at.occupied < at.slots
-                && choice.side != Some(Side::New)
-            {
+            if choice.side != Some(Side::New) {
+                let service = &choice.service;
                 let took = started.elapsed();
-                state
-                    .service_times
-                    .record(&outbound.route, took, percent / 100.0);
+                state.record_service_time(&outbound.route, service, &choice.candidate, took);
             }
         }
         let is_elsewhere = response
--- a/src/entry/rollout/observed.rs
+++ b/src/entry/rollout/observed.rs
@@ -138,7 +138,8 @@
         let now = self.shared.now();
         let mut conditions = self.conditions;
         if let Some(view) = state.targets.run(self.run) {
-            let at = view.candidate(now, &state.settings.zone);
+            let curve = state.load_curve(&view.target.service);
+            let at = view.candidate(now, &state.settings.zone, &curve);
             let slowness = at.slowness_percent.unwrap_or_default() / 100.0;
             conditions.slowness = conditions.slowness.max(slowness);
             conditions.cold |= at.cold;
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -34,6 +34,8 @@
 use crate::entry::request::wait_queue::WaitQueue;
 use crate::entry::rollout::Rollouts;
 use crate::entry::settings::{AccountSettings, EntrySettings, Tuning};
+use crate::entry::target::load_curve::LoadCurve;
+use crate::entry::target::placement::Candidate;
 use crate::entry::target::selection::Reserved;
 use crate::entry::target::targets::TargetTable;
 use crate::entry::window::{RetryBudget, RetryBudgetRule, slack_share};
@@ -81,6 +83,8 @@
     pub rollouts: Rollouts,
     /// Typical service time of each route.
     pub service_times: ServiceTimes,
+    /// Slowdown of each service's targets by their fill.
+    load_curves: IndexMap<ServiceName, LoadCurve>,
     /// Limits of client accounts.
     pub caps: AccountCaps,
     /// Status that this instance sends to its peers.
@@ -151,6 +155,7 @@
             reach: Reach::default(),
             rollouts: Rollouts::default(),
             service_times: ServiceTimes::default(),
+            load_curves: IndexMap::new(),
             reports: IndexMap::new(),
             unconfirmed: IndexMap::new(),
             sent_same_zone: IndexMap::new(),
@@ -272,12 +277,46 @@
         (self.members.known().count() + 1) as f64
     }
 
-    /// Factor by which work at a target takes longer than usual; 1.0 when unknown.
+    /// Factor by which work that runs at a target takes longer than usual; 1.0 when
+    /// unknown.
     pub(crate) fn slowness(&self, now: Time, id: &TargetId) -> f64 {
-        self.targets
-            .get(id)
-            .and_then(|view| view.candidate(now, &self.settings.zone).slowness_percent)
-            .map_or(1.0, |percent| percent / 100.0)
+        let Some(view) = self.targets.get(id) else {
+            return 1.0;
+        };
+        let curve = self.load_curve(&view.target.service);
+        let candidate = view.candidate(now, &self.settings.zone, &curve);
+        let fill = (candidate.occupied / candidate.slots.max(1.0)).min(1.0);
+        candidate.slowness_percent.unwrap_or(100.0) / 100.0 * curve.factor(fill)
+    }
+
+    /// What is known of how the targets of a service slow down when they fill.
+    pub(crate) fn load_curve(&self, service: &ServiceName) -> LoadCurve {
+        self.load_curves.get(service).copied().unwrap_or_default()
+    }
+
+    /// Records a response that took `took` at a target of `service`, of which a request had
+    /// found `candidate`.
+    pub(crate) fn record_service_time(
+        &mut self,
+        route: &Arc<str>,
+        service: &ServiceName,
+        candidate: &Candidate,
+        took: Duration,
+    ) {
+        let Some(percent) = candidate.slowness_percent else {
+            return;
+        };
+        if candidate.occupied >= candidate.slots {
+            return;
+        }
+        let slowness = (percent / 100.0).max(1.0);
+        let curve = self.load_curves.entry(service.clone()).or_default();
+        let fill = (candidate.occupied + 1.0) / candidate.slots.max(1.0);
+        if let Some(usual) = self.service_times.get(route) {
+            curve.record(fill, took.as_secs_f64() / (usual.as_secs_f64() * slowness));
+        }
+        let factor = slowness * curve.factor(fill);
+        self.service_times.record(route, took, factor);
     }
 
     /// Whether a request is blocked as it has crashed targets.
--- a/src/entry/target/mod.rs
+++ b/src/entry/target/mod.rs
@@ -1,6 +1,7 @@
 //! This instance's view of the targets, and the selection of one for a request.
 
 pub(crate) mod load;
+pub(crate) mod load_curve;
 pub(crate) mod notice;
 pub(crate) mod placement;
 pub(crate) mod precheck;
--- a/src/entry/target/placement.rs
+++ b/src/entry/target/placement.rs
@@ -71,6 +71,9 @@
     pub occupied: f64,
     /// Requests that it runs concurrently.
     pub slots: f64,
+    /// Factor by which work takes longer there with another request; see
+    /// [`LoadCurve`](crate::entry::target::load_curve::LoadCurve).
+    pub load_factor: f64,
     /// Whether it is in this instance's zone.
     pub same_zone: bool,
     /// Whether an idle connection to it is open.
@@ -135,7 +138,9 @@
     } else {
         settings.connect_cost
     };
-    slowness * (1.0 + fill + waiting) * health * cold * failure_factor + zone + connect
+    slowness * (candidate.load_factor * (1.0 + waiting) + fill) * health * cold * failure_factor
+        + zone
+        + connect
 }
 
 /// Expected duration of another request at a target.
@@ -155,7 +160,7 @@
     } else {
         1.0
     };
-    service_time.mul_f64(slowness * cold * (1.0 + waiting))
+    service_time.mul_f64(slowness * cold * candidate.load_factor * (1.0 + waiting))
 }
 
 /// Whether a target has capacity and is expected to finish the request within its latency
--- a/src/entry/target/placement/tests.rs
+++ b/src/entry/target/placement/tests.rs
@@ -5,6 +5,7 @@
         slowness_percent: Some(100.0),
         occupied: 0.0,
         slots: 6.0,
+        load_factor: 1.0,
         same_zone: true,
         connected: true,
         healthy: true,
--- a/src/entry/target/precheck/tests.rs
+++ b/src/entry/target/precheck/tests.rs
@@ -5,6 +5,7 @@
         slowness_percent: Some(slowness_percent),
         occupied,
         slots: 6.0,
+        load_factor: 1.0,
         same_zone: true,
         connected: true,
         healthy: true,
--- a/src/entry/target/selection.rs
+++ b/src/entry/target/selection.rs
@@ -29,6 +29,8 @@
     pub id: TargetId,
     /// Key of its run; see [`crate::entry::fleet::members::target_key`].
     pub run: u64,
+    /// Its service.
+    pub service: ServiceName,
     /// Address that it listens on.
     pub address: SocketAddr,
     /// Its load and state at the time of the selection.
@@ -227,6 +229,7 @@
         tried: &[TargetId],
     ) -> bool {
         let own_zone = self.settings.zone.clone();
+        let curve = self.load_curve(&choice.service);
         let Some(view) = self.targets.run_mut(choice.run) else {
             return false;
         };
@@ -234,10 +237,12 @@
             return false;
         }
         let service = view.target.service.clone();
+        let (occupied, slots) = (view.occupied(), f64::from(view.target.slots));
         choice.candidate = Candidate {
-            occupied: view.occupied() - 1.0,
+            occupied: occupied - 1.0,
+            load_factor: curve.factor(occupied / slots.max(1.0)),
             connected: true,
-            ..view.candidate(now, &own_zone)
+            ..view.candidate(now, &own_zone, &curve)
         };
         choice.report_age = Some(Duration::ZERO);
         let pool = match choice.side {
@@ -278,6 +283,7 @@
             }
         };
         let own_zone = &self.settings.zone;
+        let curve = self.load_curve(service);
         let gate = self.rollouts.gate(service);
         let mut classified = ClassifiedTargets::default();
         let (views, evacuated) = self.targets.service_targets(service);
@@ -301,7 +307,8 @@
                 Some(UnusableReason::Down) => classified.down.push(view.target.id.clone()),
                 None => {
                     classified.ids.push(view.target.id.clone());
-                    classified.candidates.push(view.candidate(now, own_zone));
+                    let candidate = view.candidate(now, own_zone, &curve);
+                    classified.candidates.push(candidate);
                 }
             }
         }
@@ -314,10 +321,11 @@
         let own_zone = self.settings.zone.clone();
         let mut counts = TargetCounts::default();
         let pool = self.main_pool(service);
+        let curve = self.load_curve(service);
         let gate = self.rollouts.gate(service);
         let (views, evacuated) = self.targets.service_targets(service);
         for view in views {
-            let candidate = view.candidate(now, &own_zone);
+            let candidate = view.candidate(now, &own_zone, &curve);
             match view.unusable_reason(now, evacuated, |_| 0) {
                 Some(UnusableReason::Leaving) => counts.leaving += 1,
                 Some(UnusableReason::Evacuated) => counts.evacuated += 1,
@@ -342,14 +350,16 @@
             .targets
             .get(id)
             .and_then(|view| self.compared_side(view));
+        let curve = self.load_curve(&self.targets.get(id)?.target.service);
         let view = self.targets.get_mut(id)?;
         let choice = ChosenTarget {
             side,
             suspicion,
             id: id.clone(),
             run: view.key,
+            service: view.target.service.clone(),
             address: view.target.address,
-            candidate: view.candidate(now, &own_zone),
+            candidate: view.candidate(now, &own_zone, &curve),
             report_age: view.load_report.map(|report| now.since(report.at)),
         };
         view.in_flight += 1;
--- a/src/entry/target/targets/tests.rs
+++ b/src/entry/target/targets/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::entry::target::load::Load;
+use crate::entry::target::load_curve::LoadCurve;
 
 const NOW: Time = Time::from_secs(10);
 
@@ -184,7 +185,10 @@
     let mut table = table(target("t"));
     let view = table.get_mut(&"t".into()).unwrap();
     view.record_load(NOW, load(1, 700));
-    let slowness = |view: &TargetState, now| view.candidate(now, &"a".into()).slowness_percent;
+    let slowness = |view: &TargetState, now| {
+        let curve = LoadCurve::default();
+        view.candidate(now, &"a".into(), &curve).slowness_percent
+    };
     assert_eq!(slowness(view, NOW), Some(700.0));
     assert_eq!(slowness(view, NOW.after(Duration::from_secs(1))), None);
     view.record_load(NOW.before(Duration::from_millis(50)), load(0, 100));
--- a/src/entry/target/targets/view.rs
+++ b/src/entry/target/targets/view.rs
@@ -9,6 +9,7 @@
 use crate::entry::fleet::message::{Health, TargetReport};
 use crate::entry::model::Target;
 use crate::entry::target::load::{Load, LoadReport};
+use crate::entry::target::load_curve::LoadCurve;
 use crate::entry::target::notice::TargetNotice;
 use crate::entry::target::placement::Candidate;
 use crate::entry::target::target_limit::{LimitDecision, TargetLimit};
@@ -306,17 +307,19 @@
         None
     }
 
-    /// Its load and state for the cost function.
+    /// Its load and state for the cost function; `curve` is its service's.
     #[must_use]
-    pub fn candidate(&self, now: Time, own_zone: &ZoneName) -> Candidate {
+    pub fn candidate(&self, now: Time, own_zone: &ZoneName, curve: &LoadCurve) -> Candidate {
         let recent = self
             .load_report
             .filter(|load_report| now.since(load_report.at) <= MAX_REPORT_AGE);
+        let (occupied, slots) = (self.occupied(), f64::from(self.target.slots));
         Candidate {
             slowness_percent: recent
                 .map(|load_report| f64::from(load_report.load.slowness_percent)),
-            occupied: self.occupied(),
-            slots: f64::from(self.target.slots),
+            occupied,
+            slots,
+            load_factor: curve.factor((occupied + 1.0) / slots.max(1.0)),
             same_zone: self.target.zone == *own_zone,
             connected: self.open_connections() > self.in_flight as usize,
             healthy: self.health == Health::Good,
