Let an instance whose requests failed at every target check its reach

Cause: the check of whether an instance is cut off asks targets that peers reach and that its own requests have not failed at. When requests failed at all of them within the 100 ms before the first check, none was left, the loss counted as confirmed, and the instance stayed in the directory. The test of callers that must not be sent there failed now and then on a busy machine for this reason, and always once requests no longer wait for a first report.

Change: if the requests failed at every target that peers reach, those are asked, from two on.

--- a/src/entry/state/probes.rs
+++ b/src/entry/state/probes.rs
@@ -73,15 +73,19 @@
             view.sending_refusal(now).is_none() && view.limit.per_second(now).is_none()
         };
         let is_vouched_for = |view: &&TargetState| {
-            !self.reports.contains_key(&view.key)
-                && view.is_reported_reachable(now)
-                && (is_cut_off || !self.reach.is_failing(view.key))
+            !self.reports.contains_key(&view.key) && view.is_reported_reachable(now)
         };
         let views = || self.targets.views().filter(may_check);
         let mut vouched: Vec<u64> = views()
             .filter(is_vouched_for)
             .map(|view| view.key)
             .collect();
+        // Requests may have failed at every target before the first check. A single one may
+        // have crashed since it was reported.
+        let is_failing = |run: &u64| self.reach.is_failing(*run);
+        if !is_cut_off && (vouched.len() < 2 || !vouched.iter().all(is_failing)) {
+            vouched.retain(|run| !is_failing(run));
+        }
         if vouched.is_empty() && is_cut_off {
             vouched.extend(views().map(|view| view.key));
         }
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -245,6 +245,22 @@
     assert_eq!(checked, runs[5..]);
 }
 
+/// As when many requests arrive right after the links to the targets were cut.
+#[tokio::test]
+async fn an_instance_whose_requests_failed_at_every_target_checks_its_reach() {
+    let targets = IDS.map(|id| (id, ([127, 0, 0, 1], 1).into()));
+    let shared = instance_with(&targets);
+    receive_good_reports(&shared);
+    let now = shared.now();
+    let mut state = shared.state();
+    let runs: Vec<u64> = state.targets.views().map(|view| view.key).collect();
+    for run in runs {
+        state.record_path_failure(now, run);
+    }
+    let checked = state.begin_reach_check(now, 0.0).unwrap();
+    assert_eq!(checked.len(), 3);
+}
+
 /// An instance that probes a single target checks its reach after each failed probe, and the
 /// next probe starts before the result is looked at.
 #[tokio::test]
