End an instance in order when it accepts no callers any more

The task that accepts callers and those of the endpoints ran unwatched: after a panic in one of them the process went on without callers, directory or readiness checks. They are watched like the other tasks that an instance needs.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -88,28 +88,32 @@
     tasks.spawn(sync::register(shared.clone()));
     tasks.spawn(holder::run(shared.clone(), socket.clone()));
     tasks.spawn(reload::run(shared.clone(), path.to_owned()));
-    let accepting = listen_callers(&shared, listeners.callers, &shutdown, &open_connections);
+    let mut accepting = listen_callers(&shared, listeners.callers, &shutdown, &open_connections);
     listen_endpoint(
+        &mut tasks,
         &shared,
         listeners.readiness,
         &shutdown,
         endpoints::serve_readiness,
     );
     listen_endpoint(
+        &mut tasks,
         &shared,
         listeners.directory,
         &shutdown,
         endpoints::serve_directory,
     );
     listen_endpoint(
+        &mut tasks,
         &shared,
         listeners.metrics,
         &shutdown,
         endpoints::serve_operator,
     );
-    let ended = wait_for_end(wait_for_signal(), &mut tasks).await;
+    let ended = wait_for_end(wait_for_signal(), &mut tasks, &mut accepting).await;
     let callers = Callers {
-        accepting,
+        // One that has ended was awaited.
+        accepting: (!accepting.is_finished()).then_some(accepting),
         open_connections: &open_connections,
     };
     drain(&shared, &socket, &shutdown_tx, callers, grace).await;
@@ -194,6 +198,7 @@
 }
 
 fn listen_endpoint(
+    tasks: &mut JoinSet<()>,
     shared: &Arc<Shared>,
     listener: Option<TcpListener>,
     shutdown: &watch::Receiver<ShutdownPhase>,
@@ -222,7 +227,7 @@
         }),
         shutdown: shutdown.clone(),
     };
-    tokio::spawn(accept(listener, Arc::new(context), Arc::default()));
+    tasks.spawn(accept(listener, Arc::new(context), Arc::default()));
 }
 
 /// Accepts connections until shutdown closes the listener, and then those that wait to be
@@ -292,11 +297,12 @@
 }
 
 /// Returns on a signal, or with an error once a task has failed that the instance needs until
-/// its end: one without it would go on with old data. It is then stopped like by a signal, and
-/// started again.
+/// its end: one without it would go on with old data, or without `accepting` take no more
+/// callers. It is then stopped like by a signal, and started again.
 async fn wait_for_end(
     signal: impl Future<Output = Result<(), Error>>,
     tasks: &mut JoinSet<()>,
+    accepting: &mut JoinHandle<()>,
 ) -> Result<(), Error> {
     let failed = async {
         loop {
@@ -307,13 +313,16 @@
             }
         }
     };
-    tokio::select! {
-        received = signal => received,
-        err = failed => {
-            tracing::error!(%err, "a task that the instance needs failed; shutting down");
-            Err(Error::TaskFailed(err.to_string()))
-        }
-    }
+    let cause = tokio::select! {
+        received = signal => return received,
+        err = failed => err.to_string(),
+        ended = accepting => match ended {
+            Ok(()) => "callers are no longer accepted".to_owned(),
+            Err(err) => err.to_string(),
+        },
+    };
+    tracing::error!(%cause, "a task that the instance needs failed; shutting down");
+    Err(Error::TaskFailed(cause))
 }
 
 async fn wait_for_signal() -> Result<(), Error> {
@@ -329,8 +338,8 @@
 
 /// The connections of callers.
 struct Callers<'a> {
-    /// The task that accepts them.
-    accepting: JoinHandle<()>,
+    /// The task that accepts them, unless it has failed.
+    accepting: Option<JoinHandle<()>>,
     /// Number of those that are open.
     open_connections: &'a AtomicUsize,
 }
@@ -360,7 +369,9 @@
     );
     tokio::time::sleep(grace.mul_f64(CLOSE_AT_FRACTION)).await;
     shutdown.send_replace(ShutdownPhase::Closing);
-    if let Err(err) = callers.accepting.await {
+    if let Some(accepting) = callers.accepting
+        && let Err(err) = accepting.await
+    {
         tracing::error!(%err, "the task that accepts connections failed");
     }
     let end = grace.mul_f64(EXIT_AT_FRACTION);
--- a/src/entry/run/tests.rs
+++ b/src/entry/run/tests.rs
@@ -35,7 +35,17 @@
     let mut tasks = JoinSet::new();
     tasks.spawn(async {});
     tasks.spawn(async { panic!("on purpose") });
-    let ended = wait_for_end(std::future::pending(), &mut tasks).await;
+    let mut accepting = tokio::spawn(std::future::pending());
+    let ended = wait_for_end(std::future::pending(), &mut tasks, &mut accepting).await;
+    let cause = ended.unwrap_err().to_string();
+    assert!(cause.contains("on purpose"), "{cause}");
+}
+
+#[tokio::test]
+async fn an_instance_that_accepts_no_callers_any_more_ends_in_order() {
+    let mut tasks = JoinSet::new();
+    let mut accepting = tokio::spawn(async { panic!("on purpose") });
+    let ended = wait_for_end(std::future::pending(), &mut tasks, &mut accepting).await;
     let cause = ended.unwrap_err().to_string();
     assert!(cause.contains("on purpose"), "{cause}");
 }
