Queue nothing at targets

Hypothesis: with the learned slowdown, a request that queues at a target is rarely in time, and it can't go to the next free slot of another target any more.

Change: a request is sent to a free slot only and waits at its instance otherwise; the queue's setting and its place in cost and expected duration are gone.

A replay of a burst on targets that slow down when full holds this and the rule for waiting.

--- a/src/entry/target/placement.rs
+++ b/src/entry/target/placement.rs
@@ -3,8 +3,8 @@
 //! Usually most slots are free, but a quarter of the targets run several times slower
 //! for half a second at a time, and many instances select targets concurrently. Under
 //! overload, queueing work until it is late would make all work late. A request is
-//! therefore queued at a target only while it can still finish within its latency
-//! objective.
+//! therefore sent only to a free slot, and waits at the instance while a target could
+//! still finish it within its latency objective.
 
 use std::time::Duration;
 
@@ -34,8 +34,6 @@
     /// Slowness assumed for a target without a recent report, in percent: the mean when
     /// a quarter of the targets run at seven times the usual.
     pub unknown_slowness: f64,
-    /// Requests that a target may queue, as a fraction of its slots.
-    pub queue_ratio: f64,
     /// Fill of a target up to which it takes requests that will be late.
     pub spare_fill: f64,
     /// Fraction of the time left to the latency objective within which a queued request
@@ -54,7 +52,6 @@
             cold_factor: 2.0,
             tie_margin: 0.08,
             unknown_slowness: 250.0,
-            queue_ratio: 1.0,
             spare_fill: 0.7,
             objective_fraction: 0.85,
         }
@@ -104,10 +101,11 @@
     pub suspicion: u32,
 }
 
-/// Whether a target may get another request at all. Beyond this it may hang.
+/// Whether a target has a free slot. A request that it queues can no longer go to another one,
+/// and beyond its queue it may hang.
 #[must_use]
-pub fn has_capacity(candidate: &Candidate, settings: &PlacementSettings) -> bool {
-    candidate.occupied + 1.0 <= candidate.slots * (1.0 + settings.queue_ratio)
+pub fn has_capacity(candidate: &Candidate) -> bool {
+    candidate.occupied + 1.0 <= candidate.slots
 }
 
 /// Expected cost of another request at a target, in units of usual work.
@@ -118,7 +116,6 @@
         .unwrap_or(settings.unknown_slowness)
         / 100.0;
     let load = (candidate.occupied + 1.0) / candidate.slots.max(1.0);
-    let waiting = (load - 1.0).max(0.0);
     let fill = settings.fill_weight * load.min(1.0).powi(2);
     let health = if candidate.healthy {
         1.0
@@ -141,9 +138,7 @@
     } else {
         settings.connect_cost
     };
-    slowness * (candidate.load_factor * (1.0 + waiting) + fill) * health * cold * failure_factor
-        + zone
-        + connect
+    slowness * (candidate.load_factor + fill) * health * cold * failure_factor + zone + connect
 }
 
 /// Expected duration of another request at a target.
@@ -155,13 +150,12 @@
 ) -> Duration {
     // Most targets are of usual speed at any moment.
     let slowness = candidate.slowness_percent.unwrap_or(100.0) / 100.0;
-    let waiting = (candidate.occupied + 1.0 - candidate.slots).max(0.0) / candidate.slots.max(1.0);
     let cold = if candidate.cold {
         settings.cold_factor
     } else {
         1.0
     };
-    service_time.mul_f64(slowness * cold * candidate.load_factor * (1.0 + waiting))
+    service_time.mul_f64(slowness * cold * candidate.load_factor)
 }
 
 /// Whether a target has capacity and is expected to finish the request within its latency
@@ -175,7 +169,7 @@
     let objective = requirements
         .objective_left
         .mul_f64(settings.objective_fraction);
-    has_capacity(candidate, settings)
+    has_capacity(candidate)
         && expected_duration(candidate, requirements.service_time, settings) <= objective
 }
 
--- a/src/entry/target/placement/tests.rs
+++ b/src/entry/target/placement/tests.rs
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn no_target_gets_more_than_its_slots_and_queue() {
+fn no_target_gets_more_than_its_slots() {
     arbtest::arbtest(|u| {
         let settings = PlacementSettings::default();
         let mut targets = Vec::new();
@@ -89,7 +89,7 @@
         match choose(&targets, &requirements(), &settings, draw) {
             Some(index) => {
                 let target = targets[index];
-                assert!(target.occupied + 1.0 <= target.slots * (1.0 + settings.queue_ratio));
+                assert!(target.occupied + 1.0 <= target.slots);
             }
             // It waits for a target that would be in time, or none has a free slot.
             None => assert!(
@@ -166,23 +166,22 @@
 }
 
 #[test]
-fn a_request_queues_only_where_it_finishes_within_its_objective() {
+fn a_request_waits_while_a_full_target_could_be_in_time() {
     let full = |slowness| Candidate {
         occupied: 6.0,
         slowness_percent: Some(slowness),
         ..idle()
     };
-    assert_eq!(chosen(&[full(700.0), full(200.0)], 0.0), Some(1));
-    assert_eq!(chosen(&[full(700.0), full(300.0)], 0.0), None);
     let free_but_slow = Candidate {
         slowness_percent: Some(700.0),
         ..idle()
     };
-    assert_eq!(chosen(&[full(300.0), free_but_slow], 0.0), Some(1));
+    assert_eq!(chosen(&[full(700.0), full(200.0)], 0.0), None);
+    assert_eq!(chosen(&[full(250.0), free_but_slow], 0.0), None);
     assert_eq!(
-        chosen(&[full(250.0), free_but_slow], 0.0),
-        None,
-        "it waits for the target that would be in time"
+        chosen(&[full(300.0), free_but_slow], 0.0),
+        Some(1),
+        "it would be late in any case"
     );
 }
 
@@ -269,3 +268,5 @@
         "being apart makes no request late"
     );
 }
+
+mod replay;
--- a/src/entry/target/precheck.rs
+++ b/src/entry/target/precheck.rs
@@ -88,12 +88,11 @@
     placement: &PlacementSettings,
     settings: &PrecheckSettings,
 ) -> bool {
-    let is_in_time = placement::finishes_in_time(checked, requirements, placement);
     let all = others.iter().chain([checked]);
-    if !is_in_time
-        && !(placement::may_be_late(all, requirements, placement)
-            && placement::finishes_late(checked, requirements, placement))
-    {
+    let is_eligible = placement::finishes_in_time(checked, requirements, placement)
+        || placement::may_be_late(all, requirements, placement)
+            && placement::finishes_late(checked, requirements, placement);
+    if !is_eligible {
         return false;
     }
     let limit = placement::cost(checked, placement) - settings.switch_margin;
--- a/src/entry/target/selection.rs
+++ b/src/entry/target/selection.rs
@@ -317,7 +317,6 @@
 
     /// Counts the targets of a service by whether they may take a request now.
     pub(crate) fn target_counts(&mut self, now: Time, service: &ServiceName) -> TargetCounts {
-        let settings = self.tuning.placement.clone();
         let own_zone = self.settings.zone.clone();
         let mut counts = TargetCounts::default();
         let pool = self.main_pool(service);
@@ -337,7 +336,7 @@
                     counts.limited += 1;
                 }
                 None if !pool.contains(gate, view) => counts.held_back += 1,
-                None if !placement::has_capacity(&candidate, &settings) => counts.full += 1,
+                None if !placement::has_capacity(&candidate) => counts.full += 1,
                 None => counts.with_room += 1,
             }
         }
