--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -321,7 +321,7 @@
             Err(err) => err.to_string(),
         },
     };
-    tracing::error!(%cause, "a task that the instance needs failed; shutting down");
+    tracing::error!(err = %cause, "a task that the instance needs failed; shutting down");
     Err(Error::TaskFailed(cause))
 }
 
