Forget a slowdown that is not seen any more, and look for targets in time once

Targets whose learned slowdown is high get few requests at that fill, so an incident's slowdown would have lasted. The choice of a target looked at all others for each candidate under overload.

--- a/src/entry/target/load_curve.rs
+++ b/src/entry/target/load_curve.rs
@@ -13,6 +13,9 @@
 const ADJUSTMENT: f64 = 0.03;
 /// Maximum slowdown that is learned.
 const MAX_FACTOR: f64 = 8.0;
+/// Responses at other fills after which an estimate is forgotten. Targets whose slowdown is
+/// high get few requests at that fill, and it would be kept after it has ended.
+const MAX_UNCONFIRMED: u32 = 1000;
 
 /// Estimated slowdown of a service's targets by their fill.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -24,17 +27,26 @@
 struct Level {
     factor: f64,
     samples: u32,
+    /// Responses at other fills since its last one.
+    unconfirmed: u32,
 }
 
 impl LoadCurve {
     /// Records that a request took `ratio` times its usual time at a target that had `fill`
     /// of its slots in use, the request included.
     pub fn record(&mut self, fill: f64, ratio: f64) {
+        for level in &mut self.levels {
+            level.unconfirmed += 1;
+            if level.unconfirmed > MAX_UNCONFIRMED {
+                *level = Level::default();
+            }
+        }
         if fill <= CALM_FILL || fill > 1.0 {
             return;
         }
         let ratio = ratio.clamp(1.0 / MAX_FACTOR, MAX_FACTOR);
         let level = &mut self.levels[level_of(fill)];
+        level.unconfirmed = 0;
         level.samples = level.samples.saturating_add(1);
         if level.samples <= MIN_SAMPLES {
             level.factor += (ratio - level.factor) / f64::from(level.samples);
--- a/src/entry/target/load_curve/tests.rs
+++ b/src/entry/target/load_curve/tests.rs
@@ -25,6 +25,20 @@
     assert!(curve.factor(1.0) < 1.1, "{curve:?}");
 }
 
+/// As after an incident in which nearly full targets were much slower.
+#[test]
+fn a_slowdown_that_is_not_seen_any_more_is_forgotten() {
+    let mut curve = LoadCurve::default();
+    for _ in 0..50 {
+        curve.record(1.0, 6.0);
+    }
+    assert!(curve.factor(1.0) > 5.0, "{curve:?}");
+    for _ in 0..=MAX_UNCONFIRMED {
+        curve.record(0.3, 1.0);
+    }
+    assert!((curve.factor(1.0) - 1.0).abs() < 0.01, "{curve:?}");
+}
+
 #[test]
 fn a_fuller_target_is_never_expected_to_be_faster() {
     arbtest::arbtest(|u| {
--- a/src/entry/target/placement.rs
+++ b/src/entry/target/placement.rs
@@ -34,7 +34,8 @@
     /// Slowness assumed for a target without a recent report, in percent: the mean when
     /// a quarter of the targets run at seven times the usual.
     pub unknown_slowness: f64,
-    /// Fill of a target up to which it takes requests that will be late.
+    /// Fill of a target up to which it takes requests that have waited too long to be in
+    /// time.
     pub spare_fill: f64,
     /// Fraction of the time left to the latency objective within which a queued request
     /// must be expected to finish. The rest allows for work of varying length.
@@ -200,12 +201,12 @@
             return chosen;
         }
     }
-    let late = |candidate: &Candidate| {
-        may_be_late(candidates, requirements, settings)
-            && finishes_late(candidate, requirements, settings)
-    };
-    cheapest(candidates, in_time, settings, draw)
-        .or_else(|| cheapest(candidates, late, settings, draw))
+    let chosen = cheapest(candidates, in_time, settings, draw);
+    if chosen.is_some() || !may_be_late(candidates, requirements, settings) {
+        return chosen;
+    }
+    let late = |candidate: &Candidate| finishes_late(candidate, requirements, settings);
+    cheapest(candidates, late, settings, draw)
 }
 
 /// Whether a request may be sent where it ends late: no target would finish it within its
