--- a/standin/src/prepared/store.rs
+++ b/standin/src/prepared/store.rs
@@ -1,4 +1,6 @@
-//! In-memory store of the prepared platform, with fault injection.
+//! In-memory store of the prepared platform: its calls, with fault injection.
+
+mod data;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,6 +15,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use self::data::{Data, Item};
 use crate::faults::Shared;
 use crate::http::{self as web, Body, Server};
 
@@ -52,33 +55,10 @@
     pub no_history: bool,
 }
 
-#[derive(Debug, Clone)]
-struct Item {
-    value: Vec<u8>,
-    revision: u64,
-    create_revision: u64,
-    lease: u64,
-}
-
 /// Copy of a store's items, from which it can be restored.
 #[derive(Debug, Clone)]
 pub struct StoreCopy(Data);
 
-#[derive(Debug, Clone, Default)]
-struct Data {
-    /// Number of times that the store was restored from a copy.
-    era: u64,
-    revision: u64,
-    items: IndexMap<String, Item>,
-    leases: IndexMap<u64, (Duration, Instant)>,
-    /// Changes in order of revision; `None` for removals.
-    history: Vec<(u64, String, Option<Item>)>,
-    /// Revision up to which the history has been compacted; older watches fail.
-    compacted: u64,
-    next_lease: u64,
-    calls: IndexMap<String, u32>,
-}
-
 /// A running store; it stops when it is dropped.
 #[derive(Debug)]
 pub struct StoreStandin {
@@ -213,61 +193,6 @@
     }
 }
 
-impl Data {
-    fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) -> u64 {
-        self.revision += 1;
-        let create_revision = self
-            .items
-            .get(key)
-            .map_or(self.revision, |item| item.create_revision);
-        let item = Item {
-            value,
-            revision: self.revision,
-            create_revision,
-            lease,
-        };
-        self.history
-            .push((self.revision, key.to_owned(), Some(item.clone())));
-        self.items.insert(key.to_owned(), item);
-        self.revision
-    }
-
-    fn remove(&mut self, key: &str) -> u64 {
-        if self.items.shift_remove(key).is_some() {
-            self.revision += 1;
-            self.history.push((self.revision, key.to_owned(), None));
-        }
-        self.revision
-    }
-
-    fn remove_lease(&mut self, lease: u64) -> bool {
-        let existed = self.leases.shift_remove(&lease).is_some();
-        let keys: Vec<String> = self
-            .items
-            .iter()
-            .filter(|(_, item)| existed && item.lease == lease)
-            .map(|(key, _)| key.clone())
-            .collect();
-        for key in keys {
-            self.remove(&key);
-        }
-        existed
-    }
-
-    fn remove_expired_leases(&mut self) {
-        let now = Instant::now();
-        let expired: Vec<u64> = self
-            .leases
-            .iter()
-            .filter(|(_, (_, until))| *until <= now)
-            .map(|(lease, _)| *lease)
-            .collect();
-        for lease in expired {
-            self.remove_lease(lease);
-        }
-    }
-}
-
 async fn handle(
     state: &StoreState,
     faults: &Shared<Faults>,
@@ -356,24 +281,6 @@
     })
 }
 
-impl Data {
-    /// The items as they were at a revision, as far as the history goes back.
-    fn items_at(&self, revision: u64) -> IndexMap<String, Item> {
-        let mut items = self.items.clone();
-        items.retain(|_, item| item.revision <= revision);
-        for (at, key, item) in &self.history {
-            if *at > revision {
-                break;
-            }
-            match item {
-                Some(item) => items.insert(key.clone(), item.clone()),
-                None => items.swap_remove(key),
-            };
-        }
-        items
-    }
-}
-
 fn read_range(
     state: &StoreState,
     faults: &Shared<Faults>,
