Log why a request is rejected, and what a 404 compared

Rejections have a closed list of reasons with a table to statuses. Each is logged with the request's id if its head was read, the bytes that were buffered and the requests that the connection had before, and counted as an outcome. `no route matches` has what tells an outdated configuration from a request that names no route. `answered` says whether the target signed.

--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -171,6 +171,11 @@
         self.request_seconds.observe(took.as_secs_f64());
     }
 
+    /// Records a request that was rejected before it was routed.
+    pub(crate) fn record_rejection(&self, outcome: &str) {
+        self.requests.with_label_values(&[outcome]).inc();
+    }
+
     /// Records that a home of a client account was asked for tokens.
     pub(crate) fn record_token_question(&self) {
         self.tokens.with_label_values(&["asked"]).inc();
--- a/src/entry/request/forward.rs
+++ b/src/entry/request/forward.rs
@@ -23,7 +23,7 @@
 use crate::entry::request::attempt::{AttemptPlan, CompletedAttempt};
 use crate::entry::request::fingerprint::RequestFingerprints;
 use crate::entry::request::hedge::{self, Progress};
-use crate::entry::request::outbound::OutboundRequest;
+use crate::entry::request::outbound::{OutboundRequest, logged_path};
 use crate::entry::request::outcome::{
     DEFAULT_RETRY_AFTER, Outcome, RETRY_AFTER_ELSEWHERE, Refusal, implies_not_run, reply,
 };
@@ -34,6 +34,7 @@
 use crate::entry::target::placement;
 use crate::entry::target::selection::{ChosenTarget, NoTarget};
 use crate::http1::client::Response;
+use crate::http1::rejection::Rejection;
 use crate::http1::server::{Reply, Request};
 use crate::names::{CallerName, ServiceName, TargetId};
 use crate::platform::prepared::wire;
@@ -82,7 +83,12 @@
                 Err(outcome) => (outcome, reply(outcome, DEFAULT_RETRY_AFTER)),
             }
         }
-        Err(outcome) => (outcome, reply(outcome, DEFAULT_RETRY_AFTER)),
+        Err(outcome) => {
+            if outcome == Outcome::NoRoute {
+                shared.log_no_route(&id, &req);
+            }
+            (outcome, reply(outcome, DEFAULT_RETRY_AFTER))
+        }
     };
     shared
         .metrics
@@ -110,6 +116,22 @@
     reply
 }
 
+/// Counts and logs a request that was rejected before it was routed.
+pub(crate) fn record_rejection(shared: &Shared, rejection: &Rejection) {
+    let reason = &rejection.reason;
+    shared.metrics.record_rejection(reason.outcome());
+    tracing::info!(
+        request = wire::request_meta(&rejection.headers).id,
+        outcome = reason.outcome(),
+        status = reason.status(),
+        %reason,
+        version = shared.state().status.version,
+        buffered_bytes = rejection.buffered,
+        requests_before = rejection.requests_before,
+        "request rejected before routing"
+    );
+}
+
 /// Whether a request may run before earlier ones of its connection are answered: it is
 /// idempotent.
 pub(crate) fn may_run_ahead(shared: &Shared, target: &str, headers: &HeaderMap) -> bool {
@@ -472,6 +494,20 @@
             account,
         })
     }
+
+    /// Logs what tells an outdated configuration from a request that names no route.
+    fn log_no_route(&self, id: &str, req: &Request) {
+        let state = self.state();
+        tracing::info!(
+            request = id,
+            host = host(&req.headers),
+            path = &*logged_path(&req.target),
+            version = state.status.version,
+            revision = state.replica.revision(),
+            routes = state.routes.count(),
+            "no route matches"
+        );
+    }
 }
 
 fn host(headers: &HeaderMap) -> &str {
--- a/src/entry/request/forward/ending.rs
+++ b/src/entry/request/forward/ending.rs
@@ -12,6 +12,7 @@
 use crate::http1::client::Response;
 use crate::http1::server::Reply;
 use crate::names::TargetId;
+use crate::platform::prepared::wire;
 
 impl Call<'_> {
     pub(super) fn deliver(&self, completed: CompletedAttempt) -> (Outcome, Reply) {
@@ -26,6 +27,7 @@
             service = %self.admitted.service,
             target = %completed.choice.id,
             status = response.status,
+            signed = wire::response_meta(response.status, &response.headers).proven,
             slowness_percent = completed.choice.candidate.slowness_percent,
             occupied = completed.choice.candidate.occupied,
             slots = completed.choice.candidate.slots,
--- a/src/entry/request/outbound.rs
+++ b/src/entry/request/outbound.rs
@@ -111,7 +111,7 @@
 }
 
 /// The start of a request target's path.
-fn logged_path(target: &str) -> Box<str> {
+pub(super) fn logged_path(target: &str) -> Box<str> {
     let path = target.split('?').next().unwrap_or_default();
     path.chars().take(MAX_LOGGED_PATH).collect()
 }
--- a/src/entry/request/routes.rs
+++ b/src/entry/request/routes.rs
@@ -28,6 +28,11 @@
         Self { hosts }
     }
 
+    /// Number of routes.
+    pub(crate) fn count(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+
     /// The route with the longest prefix of `path`, for the value of a `Host` header.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -173,12 +173,14 @@
     let handler_shared = shared.clone();
     let limits_shared = shared.clone();
     let ahead_shared = shared.clone();
+    let rejected_shared = shared.clone();
     let context = ServerContext {
         handler: move |req: Request, _| forward::serve(handler_shared.clone(), req),
         body_memory: shared.body_memory.clone(),
         may_run_ahead: Box::new(move |target, headers| {
             forward::may_run_ahead(&ahead_shared, target, headers)
         }),
+        rejected: Box::new(move |rejection| forward::record_rejection(&rejected_shared, rejection)),
         limits: Box::new(move || {
             let limits = limits_shared.state().caller_limits();
             RequestLimits {
@@ -216,6 +218,9 @@
         },
         body_memory,
         may_run_ahead: Box::new(|_, _| false),
+        rejected: Box::new(|rejection| {
+            tracing::info!(reason = %rejection.reason, "request to an endpoint rejected");
+        }),
         limits: Box::new(|| {
             let limits = crate::entry::model::CallerLimits::default();
             RequestLimits {
--- a/src/entry/run/tests.rs
+++ b/src/entry/run/tests.rs
@@ -68,6 +68,7 @@
     let context = ServerContext {
         handler: |_, _| async { Reply::empty(204) },
         body_memory: Arc::new(BodyMemory::new(0, 0)),
+        rejected: Box::new(|_| {}),
         may_run_ahead: Box::new(|_, _| false),
         limits: Box::new(|| RequestLimits {
             max_header_bytes: 1024,
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -4,6 +4,7 @@
 use http::HeaderMap;
 
 use super::body::{Framing, declared_framing};
+use super::rejection::RejectReason;
 use super::server::Reply;
 use super::{MAX_HEADERS, connection_lists, header_map, write_headers};
 
@@ -43,21 +44,23 @@
     /// Whether the client waits for an interim response before it sends the body.
     ///
     /// # Errors
-    /// The status to reject an unknown expectation with.
-    pub(super) fn expects_continue(&self) -> Result<bool, u16> {
+    /// The expectation is unknown.
+    pub(super) fn expects_continue(&self) -> Result<bool, RejectReason> {
         let Some(value) = self.headers.get(http::header::EXPECT) else {
             return Ok(false);
         };
         if !value.as_bytes().eq_ignore_ascii_case(b"100-continue") {
-            return Err(417);
+            return Err(RejectReason::UnknownExpectation);
         }
         Ok(self.is_http11)
     }
 }
 
-/// Parses a request head and returns it with its length; `None` if it is incomplete. An
-/// error is the status to reject the request with.
-pub(super) fn parse_request(buf: &BytesMut) -> Result<Option<(Head, usize)>, u16> {
+/// Parses a request head and returns it with its length; `None` if it is incomplete.
+///
+/// # Errors
+/// Why the request must be rejected.
+pub(super) fn parse_request(buf: &BytesMut) -> Result<Option<(Head, usize)>, RejectReason> {
     if buf.is_empty() {
         return Ok(None);
     }
@@ -65,8 +68,10 @@
     let mut req = httparse::Request::new(&mut headers);
     match req.parse(buf) {
         Ok(httparse::Status::Complete(length)) => {
-            let headers = header_map(req.headers).ok_or(400_u16)?;
-            let framing = declared_framing(&headers).map_err(|_| 400_u16)?;
+            let headers = header_map(req.headers)
+                .ok_or_else(|| RejectReason::HeadMalformed("invalid header".into()))?;
+            let framing = declared_framing(&headers)
+                .map_err(|problem| RejectReason::HeadMalformed(problem.into()))?;
             let head = Head {
                 method: req.method.unwrap_or_default().to_owned(),
                 target: req.path.unwrap_or_default().to_owned(),
@@ -77,8 +82,8 @@
             Ok(Some((head, length)))
         }
         Ok(httparse::Status::Partial) => Ok(None),
-        Err(httparse::Error::TooManyHeaders) => Err(431),
-        Err(_) => Err(400),
+        Err(httparse::Error::TooManyHeaders) => Err(RejectReason::TooManyHeaders),
+        Err(err) => Err(RejectReason::HeadMalformed(err.to_string())),
     }
 }
 
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -9,6 +9,7 @@
 mod head;
 mod incoming;
 mod pipeline;
+pub(crate) mod rejection;
 pub(crate) mod request_body;
 pub(crate) mod server;
 
--- a/src/http1/server.rs
+++ b/src/http1/server.rs
@@ -19,6 +19,7 @@
 use super::head::{Head, Persistence, encode, parse_request};
 use super::incoming::{BODY_READ_BYTES, Discarded, IncomingBody};
 use super::pipeline::{Exchange, Pipeline};
+use super::rejection::{RejectReason, Rejection};
 use super::request_body::{BodyMemory, RequestBody};
 
 /// Time that a client has to receive a response; longer than any request deadline.
@@ -102,6 +103,8 @@
     /// are answered. If the connection ends, its client sends it again, so it must be
     /// idempotent.
     pub may_run_ahead: MayRunAhead,
+    /// Called with each request that is rejected before it reaches the handler.
+    pub rejected: Box<dyn Fn(&Rejection) + Send + Sync>,
     /// Memory for the bodies of requests.
     pub body_memory: Arc<BodyMemory>,
     /// Current phase of a graceful shutdown.
@@ -125,8 +128,9 @@
                 Next::Request(head, received) => {
                     pipeline.push(start(context, peer, head, received, limits));
                 }
-                Next::Reject(status) => {
-                    let reply = Reply::empty(status);
+                Next::Reject(rejection) => {
+                    (context.rejected)(&rejection);
+                    let reply = Reply::empty(rejection.reason.status());
                     if conn.send(&encode(&reply, Persistence::Close, false)).await {
                         conn.close().await;
                     }
@@ -207,14 +211,16 @@
     total_read: u64,
     /// When the bytes in `buf` were read: the position of the first one of each read.
     reads: VecDeque<(u64, Instant)>,
+    /// Requests started so far.
+    requests: u64,
 }
 
 /// What to do next on a connection.
 enum Next {
     /// Handle a request whose first byte was available at this time.
     Request(Head, Instant),
-    /// Reject an invalid request with this status and close the connection.
-    Reject(u16),
+    /// Reject a request and close the connection.
+    Reject(Rejection),
     /// End the connection without a response.
     End,
 }
@@ -226,6 +232,7 @@
             buf: BytesMut::new(),
             total_read: 0,
             reads: VecDeque::new(),
+            requests: 0,
         }
     }
 
@@ -275,6 +282,7 @@
         }
         let received = self.first_byte_read();
         let _ = self.buf.split_to(length);
+        self.requests += 1;
         Some((head, received))
     }
 
@@ -291,17 +299,31 @@
         let head = match tokio::time::timeout(limits.header_timeout, self.read_head(limits)).await {
             Ok(Ok(head)) => head,
             Ok(Err(next)) => return next,
-            Err(_) => return Next::Reject(408),
+            Err(_) => return self.reject(RejectReason::HeadTimedOut, HeaderMap::new()),
         };
-        if let Err(status) = head.expects_continue() {
-            return Next::Reject(status);
+        if let Err(reason) = head.expects_continue() {
+            return self.reject(reason, head.headers);
         }
         match head.framing {
-            Framing::Length(length) if length > limits.max_body_bytes => Next::Reject(413),
-            _ => Next::Request(head, received),
+            Framing::Length(length) if length > limits.max_body_bytes => {
+                self.reject(RejectReason::BodyTooLarge(length), head.headers)
+            }
+            _ => {
+                self.requests += 1;
+                Next::Request(head, received)
+            }
         }
     }
 
+    fn reject(&self, reason: RejectReason, headers: HeaderMap) -> Next {
+        Next::Reject(Rejection {
+            reason,
+            headers,
+            buffered: self.buf.len(),
+            requests_before: self.requests,
+        })
+    }
+
     /// Waits for the first bytes of a request; false if the connection must end.
     async fn wait_for_bytes(
         &mut self,
@@ -333,15 +355,20 @@
             while self.buf.first() == Some(&b'\r') || self.buf.first() == Some(&b'\n') {
                 let _ = self.buf.split_to(1);
             }
-            if let Some((head, length)) = parse_request(&self.buf).map_err(Next::Reject)? {
-                if length > limits.max_header_bytes {
-                    return Err(Next::Reject(431));
+            let parsed = match parse_request(&self.buf) {
+                Ok(parsed) => parsed,
+                Err(reason) => return Err(self.reject(reason, HeaderMap::new())),
+            };
+            let max = limits.max_header_bytes;
+            if let Some((head, length)) = parsed {
+                if length > max {
+                    return Err(self.reject(RejectReason::HeadTooLarge(max), head.headers));
                 }
                 let _ = self.buf.split_to(length);
                 return Ok(head);
             }
-            if self.buf.len() > limits.max_header_bytes {
-                return Err(Next::Reject(431));
+            if self.buf.len() > max {
+                return Err(self.reject(RejectReason::HeadTooLarge(max), HeaderMap::new()));
             }
             if !self.read(READ_BYTES).await {
                 return Err(Next::End);
--- a/src/http1/tests/body.rs
+++ b/src/http1/tests/body.rs
@@ -99,6 +99,7 @@
                     Reply::empty(200)
                 },
                 limits: Box::new(limits),
+                rejected: Box::new(|_| {}),
                 may_run_ahead: Box::new(|_, _| false),
                 body_memory: memory(),
                 shutdown,
--- a/src/http1/tests/pipeline.rs
+++ b/src/http1/tests/pipeline.rs
@@ -77,6 +77,7 @@
             },
             may_run_ahead: Box::new(|target, _| target.starts_with("/safe")),
             limits: Box::new(limits),
+            rejected: Box::new(|_| {}),
             body_memory: memory(),
             shutdown,
         };
--- a/src/http1/tests/server.rs
+++ b/src/http1/tests/server.rs
@@ -39,6 +39,7 @@
         },
         limits: Box::new(move || limits),
         may_run_ahead: Box::new(|_, _| false),
+        rejected: Box::new(|_| {}),
         body_memory: memory(),
         shutdown,
     });
@@ -165,6 +166,7 @@
         },
         limits: Box::new(limits),
         may_run_ahead: Box::new(|_, _| false),
+        rejected: Box::new(|_| {}),
         body_memory: memory(),
         shutdown,
     };
@@ -339,6 +341,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let context = ServerContext {
+        rejected: Box::new(|_| {}),
         handler: |req: Request, _: SocketAddr| async move {
             let mut read = 0;
             loop {
@@ -384,3 +387,31 @@
     read_until(&mut stream, &format!("read {LENGTH}")).await;
     assert_eq!(used_memory.total(), 0);
 }
+
+#[tokio::test]
+async fn rejected_requests_are_reported_with_their_reason() {
+    let (_tx, shutdown) = watch::channel(ShutdownPhase::Serving);
+    let reasons = Arc::new(std::sync::Mutex::new(Vec::new()));
+    let reported = reasons.clone();
+    let context = ServerContext {
+        handler: |_: Request, _: SocketAddr| async { Reply::empty(204) },
+        rejected: Box::new(move |rejection| {
+            let line = (rejection.reason.to_string(), rejection.requests_before);
+            reported.lock().unwrap().push(line);
+        }),
+        limits: Box::new(limits),
+        may_run_ahead: Box::new(|_, _| false),
+        body_memory: memory(),
+        shutdown,
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let client = send_bytes(address, b"GET / HTTP/1.1\r\n\r\nnot a request\r\n\r\n");
+    let serving = async {
+        let (stream, peer) = listener.accept().await.unwrap();
+        serve(stream, peer, &context).await;
+    };
+    tokio::join!(client, serving);
+    let expected = ("malformed head: invalid HTTP version".to_owned(), 1);
+    assert_eq!(*reasons.lock().unwrap(), [expected]);
+}
