--- a/src/entry/fleet/mod.rs
+++ b/src/entry/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The other instances, what they tell each other, and the copy of the store's records.
 
 pub(crate) mod caps;
+pub(super) mod changes;
 pub(crate) mod digest;
 pub(crate) mod directory;
 pub(crate) mod homes;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 
-use crate::entry::fleet::{peers, sync};
+use crate::entry::fleet::{changes, peers, sync};
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::request::forward;
 use crate::entry::rollout::holder;
@@ -79,11 +79,11 @@
     let mut tasks = JoinSet::new();
     tasks.spawn(peers::receive_datagrams(shared.clone(), socket.clone()));
     tasks.spawn(peers::run_heartbeats(shared.clone(), socket.clone()));
-    tasks.spawn(peers::serve_requests(
+    tasks.spawn(changes::serve_requests(
         shared.clone(),
         listeners.peer_requests,
     ));
-    tasks.spawn(peers::pull_changes(shared.clone()));
+    tasks.spawn(changes::pull_changes(shared.clone()));
     tasks.spawn(sync::run(shared.clone()));
     tasks.spawn(sync::register(shared.clone()));
     tasks.spawn(holder::run(shared.clone(), socket.clone()));
