--- a/src/entry/fleet/changes/tests.rs
+++ b/src/entry/fleet/changes/tests.rs
@@ -1,33 +1,75 @@
 use super::*;
 use crate::entry::fleet::message::Heartbeat;
+use crate::entry::model::{Change, Configuration, Record};
 use crate::entry::testing::instance_with;
 
 /// Version of the configuration that only the peers have.
 const VERSION: u64 = 9;
 
+/// Pause between the parts of a response that arrives slowly.
+const PART_PAUSE: Duration = Duration::from_millis(300);
+
+/// Tells an instance of a peer that has the newer configuration.
+fn receive_heartbeat_of(peer: SocketAddr, shared: &Shared) {
+    let heartbeat = Heartbeat {
+        zone: "a".into(),
+        status: InstanceStatus {
+            version: VERSION,
+            revision: 100,
+            ..InstanceStatus::default()
+        },
+        reports: Vec::new(),
+        member: None,
+        cases: Vec::new(),
+        evidence: Vec::new(),
+        limits: Vec::new(),
+        leaving: Vec::new(),
+    };
+    let now = shared.now();
+    shared.state().receive_heartbeat(now, peer, &heartbeat);
+}
+
 /// Keeps a peer live that has the newer configuration.
 async fn send_heartbeats_of(peer: SocketAddr, shared: Arc<Shared>) {
     loop {
-        let heartbeat = Heartbeat {
-            zone: "a".into(),
-            status: InstanceStatus {
-                version: VERSION,
-                revision: 100,
-                ..InstanceStatus::default()
-            },
-            reports: Vec::new(),
-            member: None,
-            cases: Vec::new(),
-            evidence: Vec::new(),
-            limits: Vec::new(),
-            leaving: Vec::new(),
-        };
-        let now = shared.now();
-        shared.state().receive_heartbeat(now, peer, &heartbeat);
+        receive_heartbeat_of(peer, &shared);
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
 
+/// A configuration with this version and as many routes.
+fn newer_configuration(shared: &Shared, routes: usize) -> Delta {
+    let configuration = shared.state().replica.configuration().unwrap().clone();
+    let route = configuration.routes[0].clone();
+    let configuration = Configuration {
+        version: VERSION,
+        routes: vec![route; routes],
+        ..(*configuration).clone()
+    };
+    let change = Change {
+        key: "1".into(),
+        revision: 100,
+        record: Some(Record::Configuration(configuration.into())),
+    };
+    Delta {
+        era: 0,
+        revision: 100,
+        complete: true,
+        changes: vec![change],
+    }
+}
+
+/// Waits until an instance has the newer configuration.
+async fn has_newer_configuration(shared: &Shared) {
+    let fetching = async {
+        while shared.state().status.version != VERSION {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let fetched = tokio::time::timeout(Duration::from_secs(30), fetching).await;
+    assert!(fetched.is_ok());
+}
+
 /// Connections between instances may go silent for good while new ones work.
 #[tokio::test]
 async fn changes_are_fetched_from_another_peer_if_one_never_answers() {
@@ -35,28 +77,8 @@
     let serving = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let peers = [&serving, &silent].map(|listener| listener.local_addr().unwrap());
     let (newer, shared) = (instance_with(&[]), instance_with(&[]));
-    {
-        let now = newer.now();
-        let mut state = newer.state();
-        let configuration = state.replica.configuration().unwrap();
-        let configuration = crate::entry::model::Configuration {
-            version: VERSION,
-            ..(**configuration).clone()
-        };
-        let record = crate::entry::model::Record::Configuration(configuration.into());
-        let change = crate::entry::model::Change {
-            key: "1".into(),
-            revision: 100,
-            record: Some(record),
-        };
-        let delta = Delta {
-            era: 0,
-            revision: 100,
-            complete: true,
-            changes: vec![change],
-        };
-        state.apply(now, delta, "store");
-    }
+    let delta = newer_configuration(&newer, 1);
+    newer.state().apply(newer.now(), delta, "store");
     tokio::spawn(serve_requests(newer, serving));
     let accepted = tokio::spawn(async move {
         let connection = silent.accept().await.unwrap();
@@ -67,12 +89,51 @@
         tokio::spawn(send_heartbeats_of(peer, shared.clone()));
     }
     tokio::spawn(pull_changes(shared.clone()));
-    let fetching = async {
-        while shared.state().status.version != VERSION {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-    };
-    let fetched = tokio::time::timeout(Duration::from_secs(30), fetching).await;
-    assert!(fetched.is_ok());
+    has_newer_configuration(&shared).await;
     accepted.abort();
 }
+
+/// The link of the peer that all ask would carry all copies.
+#[test]
+fn instances_that_lack_the_same_changes_all_ask_one_peer() {
+    let peers: Vec<SocketAddr> = (1..=4).map(|ip| ([127, 0, 1, ip], 7000).into()).collect();
+    let asked: std::collections::HashSet<SocketAddr> = (0..20)
+        .map(|_| {
+            let shared = instance_with(&[]);
+            for peer in &peers {
+                receive_heartbeat_of(*peer, &shared);
+            }
+            newest_peer(&shared, shared.now(), &[]).unwrap().address
+        })
+        .collect();
+    assert!(asked.len() > 1, "all ask {asked:?}");
+}
+
+/// A large configuration takes long over a narrow link.
+#[tokio::test]
+async fn a_transfer_that_makes_progress_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    let shared = instance_with(&[]);
+    let response = message::encode_response(newer_configuration(&shared, 100)).unwrap();
+    tokio::spawn(send_heartbeats_of(peer, shared.clone()));
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let response = response.clone();
+            tokio::spawn(async move {
+                read_frame(&mut stream).await?;
+                stream
+                    .write_u32(u32::try_from(response.len()).unwrap())
+                    .await?;
+                for part in response.chunks(response.len() / 4) {
+                    tokio::time::sleep(PART_PAUSE).await;
+                    stream.write_all(part).await?;
+                }
+                Ok::<_, std::io::Error>(())
+            });
+        }
+    });
+    tokio::spawn(pull_changes(shared.clone()));
+    has_newer_configuration(&shared).await;
+}
