Give up a transfer between instances by its progress, not by its length

Cause: a fetch of changes was given up 0.8 s after its start, whatever its size.

A step of an exchange is given up after 0.8 s without progress, so a peer that never answers is left as early as before. The whole has 2 s and the time that its bytes take at 32 KiB/s, so that a peer which trickles holds nobody for long.

--- a/src/entry/fleet/changes.rs
+++ b/src/entry/fleet/changes.rs
@@ -1,9 +1,11 @@
 //! Fetches changes of the replica from peers, and serves them to peers.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::{Buf, Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -13,8 +15,14 @@
 use crate::entry::shared::Shared;
 use crate::units::Time;
 
-/// Timeout of a request to a peer, including its response.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time without progress after which an exchange with a peer is given up.
+const STALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time that each transfer has in addition to that at [`MIN_RATE`].
+const MIN_TRANSFER_TIME: Duration = Duration::from_secs(2);
+/// Lowest rate of a long transfer that is not given up, in bytes a second.
+const MIN_RATE: u32 = 32 << 10;
+/// Buffer space for each read of a frame, in bytes.
+const READ_BYTES: usize = 16 << 10;
 /// Time to wait for the own watch or a peer in the same zone before a peer in another
 /// zone is asked for changes, since traffic between zones is expensive.
 const OTHER_ZONE_DELAY: Duration = Duration::from_millis(150);
@@ -28,9 +36,8 @@
         };
         let shared = shared.clone();
         tokio::spawn(async move {
-            let exchange = tokio::time::timeout(EXCHANGE_TIMEOUT, handle_request(&shared, stream));
-            if !matches!(exchange.await, Ok(Ok(()))) {
-                tracing::debug!(%peer, "request of a peer was not answered");
+            if let Err(err) = handle_request(&shared, stream).await {
+                tracing::debug!(%peer, %err, "request of a peer was not answered");
             }
         });
     }
@@ -40,8 +47,7 @@
     let bytes = read_frame(&mut stream).await?;
     let position = message::decode_request(&bytes).map_err(std::io::Error::other)?;
     let delta = shared.state().replica.delta_since(position);
-    write_frame(&mut stream, message::encode_response(delta)).await?;
-    stream.shutdown().await
+    write_frame(&mut stream, message::encode_response(delta)).await
 }
 
 /// Fetches changes from peers that have newer ones, until the process ends.
@@ -127,15 +133,10 @@
 
 /// Fetches the changes after a position from a peer.
 async fn fetch_changes(peer: SocketAddr, from: Position) -> std::io::Result<Delta> {
-    let exchange = async {
-        let mut stream = TcpStream::connect(peer).await?;
-        write_frame(&mut stream, message::encode_request(from)).await?;
-        let bytes = read_frame(&mut stream).await?;
-        message::decode_response(&bytes).map_err(std::io::Error::other)
-    };
-    tokio::time::timeout(EXCHANGE_TIMEOUT, exchange)
-        .await
-        .map_err(|_| std::io::Error::other("timed out"))?
+    let mut stream = with_progress(TcpStream::connect(peer)).await?;
+    write_frame(&mut stream, message::encode_request(from)).await?;
+    let bytes = read_frame(&mut stream).await?;
+    message::decode_response(&bytes).map_err(std::io::Error::other)
 }
 
 async fn write_frame(
@@ -144,19 +145,52 @@
 ) -> std::io::Result<()> {
     let bytes = encoded.map_err(std::io::Error::other)?;
     let length = u32::try_from(bytes.len()).map_err(std::io::Error::other)?;
-    let mut frame = length.to_be_bytes().to_vec();
-    frame.extend_from_slice(&bytes);
-    stream.write_all(&frame).await
+    let mut frame = Bytes::from([&length.to_be_bytes()[..], &bytes].concat());
+    let writing = async {
+        while frame.has_remaining() {
+            with_progress(stream.write_buf(&mut frame)).await?;
+        }
+        Ok(())
+    };
+    within_time_for(length, writing).await
 }
 
 async fn read_frame(stream: &mut TcpStream) -> std::io::Result<Vec<u8>> {
-    let length = usize::try_from(stream.read_u32().await?).map_err(std::io::Error::other)?;
+    let frame_length = with_progress(stream.read_u32()).await?;
+    let length = usize::try_from(frame_length).map_err(std::io::Error::other)?;
     if length > MAX_FRAME {
         return Err(std::io::Error::other("frame exceeds the maximum size"));
     }
-    let mut bytes = vec![0; length];
-    stream.read_exact(&mut bytes).await?;
-    Ok(bytes)
+    let reading = async {
+        let mut bytes = BytesMut::new();
+        let mut rest = stream.take(u64::from(frame_length));
+        while bytes.len() < length {
+            bytes.reserve(READ_BYTES.min(length - bytes.len()));
+            if with_progress(rest.read_buf(&mut bytes)).await? == 0 {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+        Ok(bytes.into())
+    };
+    within_time_for(frame_length, reading).await
+}
+
+/// Limits one step of an exchange.
+async fn with_progress<T>(step: impl Future<Output = std::io::Result<T>>) -> std::io::Result<T> {
+    tokio::time::timeout(STALL_TIMEOUT, step)
+        .await
+        .map_err(|_| std::io::Error::other("no progress"))?
+}
+
+/// Limits the transfer of as many bytes.
+async fn within_time_for<T>(
+    bytes: u32,
+    transfer: impl Future<Output = std::io::Result<T>>,
+) -> std::io::Result<T> {
+    let limit = MIN_TRANSFER_TIME + Duration::from_secs(1) * bytes / MIN_RATE;
+    tokio::time::timeout(limit, transfer)
+        .await
+        .map_err(|_| std::io::Error::other("the transfer is too slow"))?
 }
 
 #[cfg(test)]
