Spread the fetches of changes over all peers that have them

Callers of instances whose configuration arrived late got 404 for routes that were in force (DENIED), and requests ran by routes that were no longer in force (CONFIG).

Cause: all instances of a zone that lack the same changes chose the same peer, the first of those with the newest, and all copies shared its link. An instance that had fetched them was not asked before the next newest one. Fetching had no limit, so on a link of 10 Mbit/s no copy of 1,400 routes was complete in time.

One of the peers with the newest changes is drawn. A peer sends two large responses at a time, and tells others at once that it is busy: they ask another peer. So each instance that has a copy is a source for the next. Small responses, as of most changes, have no limit. A peer of an earlier release can't decode that a peer is busy, and asks another one as after a failure.

--- a/src/entry/fleet/changes.rs
+++ b/src/entry/fleet/changes.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
+use rand::Rng;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 
-use crate::entry::fleet::members::InstanceStatus;
 use crate::entry::fleet::message::{self, MAX_FRAME};
 use crate::entry::fleet::replica::{Delta, Position};
+use crate::entry::fleet::source::{self, Avoided, Source};
 use crate::entry::shared::Shared;
 use crate::units::Time;
 
@@ -23,116 +25,139 @@
 const MIN_RATE: u32 = 32 << 10;
 /// Buffer space for each read of a frame, in bytes.
 const READ_BYTES: usize = 16 << 10;
+/// Large responses that an instance sends at a time: its link may carry few copies of a
+/// configuration a second.
+const MAX_LARGE_TRANSFERS: usize = 2;
+/// Rows from which a response is large, some tens of kilobytes.
+const LARGE_ROWS: usize = 512;
 /// Time to wait for the own watch or a peer in the same zone before a peer in another
 /// zone is asked for changes, since traffic between zones is expensive.
 const OTHER_ZONE_DELAY: Duration = Duration::from_millis(150);
 
 /// Serves requests of peers until the process ends.
 pub(crate) async fn serve_requests(shared: Arc<Shared>, listener: TcpListener) {
+    let large_transfers = Arc::new(Semaphore::new(MAX_LARGE_TRANSFERS));
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        let shared = shared.clone();
+        let (shared, large_transfers) = (shared.clone(), large_transfers.clone());
         tokio::spawn(async move {
-            if let Err(err) = handle_request(&shared, stream).await {
+            if let Err(err) = handle_request(&shared, stream, &large_transfers).await {
                 tracing::debug!(%peer, %err, "request of a peer was not answered");
             }
         });
     }
 }
 
-async fn handle_request(shared: &Shared, mut stream: TcpStream) -> std::io::Result<()> {
+async fn handle_request(
+    shared: &Shared,
+    mut stream: TcpStream,
+    large_transfers: &Semaphore,
+) -> std::io::Result<()> {
     let bytes = read_frame(&mut stream).await?;
     let position = message::decode_request(&bytes).map_err(std::io::Error::other)?;
+    if shared.state().replica.rows_since(position) < LARGE_ROWS {
+        let delta = shared.state().replica.delta_since(position);
+        return write_frame(&mut stream, message::encode_response(delta)).await;
+    }
+    let Ok(_permit) = large_transfers.try_acquire() else {
+        return write_frame(&mut stream, message::encode_busy()).await;
+    };
     let delta = shared.state().replica.delta_since(position);
-    write_frame(&mut stream, message::encode_response(delta)).await
+    write_frame(&mut stream, message::encode_response(delta)).await?;
+    // What was written may still be on its way. The peer closes the connection after it.
+    stream.shutdown().await?;
+    tokio::time::timeout(MIN_TRANSFER_TIME, stream.read_u8())
+        .await
+        .map_or(Ok(()), |_| Ok(()))
 }
 
 /// Fetches changes from peers that have newer ones, until the process ends.
 pub(crate) async fn pull_changes(shared: Arc<Shared>) {
     let interval = shared.state().tuning.heartbeat_interval;
     let mut behind_since: Option<Time> = None;
-    let mut failed: Vec<SocketAddr> = Vec::new();
+    let mut avoided = Avoided::default();
     loop {
         tokio::time::sleep(interval / 2).await;
         let now = shared.now();
-        let Some(source) = newest_peer(&shared, now, &failed) else {
+        let sources = sources(&shared, now);
+        if sources.is_empty() {
             behind_since = None;
-            failed.clear();
+            avoided.forget_failures();
             continue;
-        };
+        }
         let waited = now.since(*behind_since.get_or_insert(now));
+        let Some(source) = source::choose(now, &sources, &avoided, rand::rng().random()) else {
+            continue;
+        };
         if waited < OTHER_ZONE_DELAY
             && !(source.same_zone && waited >= interval / 2 && !shared.state().watches())
         {
             continue;
         }
-        let peer = source.address;
-        match fetch_changes(peer, source.from).await {
-            Ok(delta) => {
-                let now = shared.now();
+        let (peer, from) = (source.address, fetch_position(&shared, source));
+        let started = now;
+        let fetched = fetch_changes(peer, from).await;
+        let now = shared.now();
+        match fetched {
+            Ok(Some(delta)) => {
+                shared.metrics.record_fetch("fetched");
                 shared.state().apply(now, delta, "peer");
                 shared.capacity_freed.notify_waiters();
-                failed.clear();
+                avoided.forget_failures();
+            }
+            Ok(None) => {
+                shared.metrics.record_fetch("busy");
+                avoided.record_busy(now, peer);
             }
             Err(err) => {
-                tracing::info!(%peer, %err, "failed to fetch changes from a peer");
-                failed.push(peer);
+                shared.metrics.record_fetch("failed");
+                tracing::info!(
+                    %peer,
+                    revision = from.revision,
+                    peer_version = source.version,
+                    took_ms = now.since(started).as_millis(),
+                    %err,
+                    "failed to fetch changes from a peer"
+                );
+                avoided.record_failure(peer);
             }
         }
     }
 }
 
-/// A peer to fetch changes from.
-struct ChangeSource {
-    address: SocketAddr,
-    /// Whether it is in this instance's zone.
-    same_zone: bool,
-    /// Position after which changes are requested; the default for everything.
-    from: Position,
-}
-
-/// A live peer with newer changes or a newer configuration, preferably in the same zone.
-/// Peers in `failed` are a last resort.
+/// The live peers with newer changes or a newer configuration.
 ///
 /// A peer has a newer configuration at the same revision when the store holds an invalid
 /// one, so that an instance that has just started found none.
-fn newest_peer(shared: &Shared, now: Time, failed: &[SocketAddr]) -> Option<ChangeSource> {
+fn sources(shared: &Shared, now: Time) -> Vec<Source> {
     let state = shared.state();
     let (position, version) = (state.replica.content_position(), state.status.version);
     let zone = &state.settings.zone;
-    let is_newer =
-        |status: &InstanceStatus| status.position() > position || status.version > version;
-    let (address, member) = state
-        .members
-        .live(now)
-        .filter(|(_, member)| is_newer(&member.status))
-        .max_by_key(|(address, member)| {
-            let status = &member.status;
-            let same_zone = member.zone == *zone;
-            (
-                !failed.contains(address),
-                same_zone,
-                status.position(),
-                status.version,
-            )
-        })?;
-    let has_changes = member.status.position() > position;
-    Some(ChangeSource {
+    let live = state.members.live(now).map(|(address, member)| Source {
         address,
         same_zone: member.zone == *zone,
-        from: if has_changes {
-            state.replica.position()
-        } else {
-            Position::default()
-        },
-    })
+        position: member.status.position(),
+        version: member.status.version,
+    });
+    live.filter(|source| source.position > position || source.version > version)
+        .collect()
+}
+
+/// The position after which a source is asked for changes: the default for everything.
+fn fetch_position(shared: &Shared, source: &Source) -> Position {
+    let state = shared.state();
+    if source.position > state.replica.content_position() {
+        state.replica.position()
+    } else {
+        Position::default()
+    }
 }
 
-/// Fetches the changes after a position from a peer.
-async fn fetch_changes(peer: SocketAddr, from: Position) -> std::io::Result<Delta> {
+/// Fetches the changes after a position from a peer; `None` if it is busy.
+async fn fetch_changes(peer: SocketAddr, from: Position) -> std::io::Result<Option<Delta>> {
     let mut stream = with_progress(TcpStream::connect(peer)).await?;
     write_frame(&mut stream, message::encode_request(from)).await?;
     let bytes = read_frame(&mut stream).await?;
--- a/src/entry/fleet/changes/tests.rs
+++ b/src/entry/fleet/changes/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::entry::fleet::members::InstanceStatus;
 use crate::entry::fleet::message::Heartbeat;
 use crate::entry::model::{Change, Configuration, Record};
 use crate::entry::testing::instance_with;
@@ -103,7 +104,13 @@
             for peer in &peers {
                 receive_heartbeat_of(*peer, &shared);
             }
-            newest_peer(&shared, shared.now(), &[]).unwrap().address
+            let now = shared.now();
+            let avoided = Avoided::default();
+            let sources = sources(&shared, now);
+            let draw = rand::rng().random();
+            source::choose(now, &sources, &avoided, draw)
+                .unwrap()
+                .address
         })
         .collect();
     assert!(asked.len() > 1, "all ask {asked:?}");
--- a/src/entry/fleet/message.rs
+++ b/src/entry/fleet/message.rs
@@ -181,6 +181,9 @@
 pub enum PeerResponse {
     /// The changes.
     Changes(Delta),
+    /// The sender sends large changes to as many peers as it may. Earlier releases can't
+    /// decode this, and ask another peer.
+    Busy,
 }
 
 /// What follows a heartbeat and its relayed statuses, where earlier releases ignore it.
@@ -398,18 +401,29 @@
     Ok(bytes)
 }
 
-/// Decodes the response to a request for changes.
+/// Encodes the response that the sender is busy.
+///
+/// # Errors
+/// Never for the types here; otherwise the codec's error.
+pub fn encode_busy() -> Result<Vec<u8>, postcard::Error> {
+    encode(&PeerResponse::Busy)
+}
+
+/// Decodes the response to a request for changes; `None` if the sender is busy.
 ///
 /// # Errors
 /// The bytes are not a valid response.
-pub fn decode_response(bytes: &[u8]) -> Result<Delta, postcard::Error> {
-    let (PeerResponse::Changes(mut delta), era, rest) = decode_with_era(bytes)?;
+pub fn decode_response(bytes: &[u8]) -> Result<Option<Delta>, postcard::Error> {
+    let (response, era, rest) = decode_with_era(bytes)?;
+    let PeerResponse::Changes(mut delta) = response else {
+        return Ok(None);
+    };
     delta.era = era;
     if !rest.is_empty() {
         let extension: ChangesExtension = postcard::from_bytes(rest)?;
         extension.merge_into(&mut delta);
     }
-    Ok(delta)
+    Ok(Some(delta))
 }
 
 fn encode_with_era<T: Serialize>(message: &T, era: u64) -> Result<Vec<u8>, postcard::Error> {
--- a/src/entry/fleet/message/tests.rs
+++ b/src/entry/fleet/message/tests.rs
@@ -188,7 +188,7 @@
         changes: Vec::new(),
     };
     let bytes = encode_response(delta.clone()).unwrap();
-    assert_eq!(decode_response(&bytes).unwrap(), delta);
+    assert_eq!(decode_response(&bytes).unwrap(), Some(delta));
 }
 
 #[test]
@@ -363,10 +363,12 @@
         ],
     };
     let bytes = encode_response(sent.clone()).unwrap();
-    assert_eq!(decode_response(&bytes).unwrap(), sent);
+    assert_eq!(decode_response(&bytes).unwrap(), Some(sent));
     // As earlier releases decode it.
     let earlier: PeerResponse = postcard::from_bytes(&bytes).unwrap();
-    let PeerResponse::Changes(decoded) = &earlier;
+    let PeerResponse::Changes(decoded) = &earlier else {
+        panic!("{earlier:?}");
+    };
     configuration.accounts = None;
     configuration.routes[0].public = false;
     let known = [
@@ -382,5 +384,5 @@
     assert_eq!(decoded.changes, known);
     // As earlier releases encode it.
     let bytes = encode_with_era(&earlier, 4).unwrap();
-    assert_eq!(decode_response(&bytes).unwrap().changes, known);
+    assert_eq!(decode_response(&bytes).unwrap().unwrap().changes, known);
 }
--- a/src/entry/fleet/mod.rs
+++ b/src/entry/fleet/mod.rs
@@ -10,5 +10,6 @@
 pub(super) mod peers;
 pub(crate) mod reach;
 pub(crate) mod replica;
+mod source;
 pub(crate) mod sync;
 pub(crate) mod watchers;
--- a/src/entry/fleet/replica.rs
+++ b/src/entry/fleet/replica.rs
@@ -150,12 +150,31 @@
         applied
     }
 
-    /// The changes that a peer at `position` lacks.
+    /// Number of rows among the records that a peer at `position` lacks; a configuration has
+    /// one for each route.
     #[must_use]
-    pub fn delta_since(&self, position: Position) -> Delta {
+    pub fn rows_since(&self, position: Position) -> usize {
+        let (_, from) = self.delta_start(position);
+        let entries = self.entries.values().filter(|entry| entry.revision > from);
+        let rows = entries.map(|entry| match &entry.record {
+            Record::Configuration(configuration) => configuration.routes.len(),
+            _ => 1,
+        });
+        rows.sum()
+    }
+
+    /// Whether a peer at `position` needs every record, and the revision after which it needs
+    /// the changes.
+    fn delta_start(&self, position: Position) -> (bool, u64) {
         let Position { era, revision } = position;
         let complete = era != self.era || revision == 0 || revision < self.tombstones_from;
-        let from = if complete { 0 } else { revision };
+        (complete, if complete { 0 } else { revision })
+    }
+
+    /// The changes that a peer at `position` lacks.
+    #[must_use]
+    pub fn delta_since(&self, position: Position) -> Delta {
+        let (complete, from) = self.delta_start(position);
         let records = self
             .entries
             .iter()
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -60,6 +60,8 @@
     pub rollout_attempts: IntCounterVec,
     /// Tokens of client accounts, by event.
     tokens: IntCounterVec,
+    /// Fetches of changes from peers, by result.
+    fetches: IntCounterVec,
     /// Calls to the platform's store, by kind.
     pub store_calls: Arc<IntCounterVec>,
 }
@@ -156,6 +158,11 @@
                 "Questions to homes of client accounts, tokens granted as a home, and questions without one.",
                 "event",
             )?,
+            fetches: by_label(
+                "entry_change_fetches_total",
+                "Fetches of changes from peers by result: fetched, busy or failed.",
+                "result",
+            )?,
             store_calls: Arc::new(by_label(
                 "entry_store_calls_total",
                 "Calls to the store by kind.",
@@ -188,6 +195,11 @@
         counter.inc_by(u64::from(tokens).max(1));
     }
 
+    /// Records the result of a fetch of changes from a peer.
+    pub(crate) fn record_fetch(&self, result: &str) {
+        self.fetches.with_label_values(&[result]).inc();
+    }
+
     /// Records the duration of an answered attempt.
     pub(crate) fn record_attempt(&self, took: Duration) {
         self.target_seconds.observe(took.as_secs_f64());
