Refuse targets whose id would break the head of a request

An entry of another writer may have any key. With line breaks in it, the header that names the expected target carried the rest of the id as header lines or as another request, which some target would have run.

Ids are accepted if they are visible ASCII characters, as the header's value must be; any other one is an invalid record, which names no target.

--- a/src/platform/prepared/record.rs
+++ b/src/platform/prepared/record.rs
@@ -117,6 +117,10 @@
     if id.is_empty() || wire.service.is_empty() || wire.slots == 0 {
         return Err("the target has no id, service or slots".into());
     }
+    // It is written into the head of each request.
+    if !id.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err("the id has characters that a header can't have".into());
+    }
     Ok(Target {
         id: id.into(),
         service: (&*wire.service).into(),
--- a/src/platform/prepared/record/tests.rs
+++ b/src/platform/prepared/record/tests.rs
@@ -138,6 +138,25 @@
     }
 }
 
+/// An entry of a target with this field replaced.
+fn target_with(field: &str, value: serde_json::Value) -> Vec<u8> {
+    let mut entry = serde_json::json!({
+        "service": "s", "address": "10.0.0.9:8080", "zone": "a", "version": "v1", "slots": 6,
+        "state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1,
+    });
+    entry[field] = value;
+    entry.to_string().into_bytes()
+}
+
+/// The id is written into the head of each request.
+#[test]
+fn an_id_that_does_not_fit_a_header_names_no_target() {
+    for id in ["t\r\nx-smuggled: 1", "t\n", "t u", "t\0", "\u{e9}"] {
+        let decoded = decode(&format!("servers/{id}"), &target_with("slots", 6.into()));
+        assert!(decoded.is_err(), "{decoded:?}");
+    }
+}
+
 fn with_accounts(rows: &str) -> String {
     let accounts = format!(
         r#""tenants": {{"columns": ["name", "api_keys", "priority", "rate_per_s", "burst"], "rows": [{rows}]}}, "limits""#
