Refuse targets with absurdly many slots

The slots of an entry are added up for the service's expected wait, the load of its zone and the room of a version. By these sums, one entry with four billion of them makes the expected wait of every request zero, so that requests queue beyond what the sound targets can run, and its zone never counts as busy.

A target needs a connection for each slot, so an entry with more than 65,536 is invalid, and names no target.

--- a/src/platform/prepared/record.rs
+++ b/src/platform/prepared/record.rs
@@ -32,6 +32,9 @@
 /// Prefix of the keys under which entry instances register.
 const INSTANCE_PREFIX: &str = "entries/";
 
+/// Maximum slots of a target, which needs a connection for each.
+const MAX_SLOTS: u32 = 1 << 16;
+
 /// Returns the key under which the instance at `address` registers.
 pub(crate) fn registration_key(address: SocketAddr) -> String {
     format!("{INSTANCE_PREFIX}{address}")
@@ -117,6 +120,9 @@
     if id.is_empty() || wire.service.is_empty() || wire.slots == 0 {
         return Err("the target has no id, service or slots".into());
     }
+    if wire.slots > MAX_SLOTS {
+        return Err(format!("slots must be at most {MAX_SLOTS}"));
+    }
     // It is written into the head of each request.
     if !id.bytes().all(|byte| byte.is_ascii_graphic()) {
         return Err("the id has characters that a header can't have".into());
--- a/src/platform/prepared/record/tests.rs
+++ b/src/platform/prepared/record/tests.rs
@@ -157,6 +157,16 @@
     }
 }
 
+/// Such a target alone would seem to have room for all requests.
+#[test]
+fn absurdly_many_slots_name_no_target() {
+    for slots in [u32::MAX, MAX_SLOTS + 1] {
+        let decoded = decode("servers/t", &target_with("slots", slots.into()));
+        assert!(decoded.is_err(), "{decoded:?}");
+    }
+    assert!(decode("servers/t", &target_with("slots", MAX_SLOTS.into())).is_ok());
+}
+
 fn with_accounts(rows: &str) -> String {
     let accounts = format!(
         r#""tenants": {{"columns": ["name", "api_keys", "priority", "rate_per_s", "burst"], "rows": [{rows}]}}, "limits""#
