Refuse addresses that no machine listens on

An entry may name any address. A connection to the unspecified address reaches the own machine, whose entry instance would take what it forwards as a caller's request; one to port 0, a multicast or a broadcast address always fails, and counts as a failed path.

Such an address makes the entry invalid, of a target and of an instance.

--- a/src/platform/prepared/record.rs
+++ b/src/platform/prepared/record.rs
@@ -1,6 +1,6 @@
 //! Decodes the records of the platform's store into the types of [`crate::entry::model`].
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -79,6 +79,7 @@
     }
     if key.starts_with(INSTANCE_PREFIX) {
         let wire: InstanceValue = parse_json(value)?;
+        check_address(wire.address)?;
         return Ok(Some(Record::Instance(Registration {
             address: wire.address,
             zone: ZoneName::from(&*wire.zone),
@@ -123,6 +124,7 @@
     if wire.slots > MAX_SLOTS {
         return Err(format!("slots must be at most {MAX_SLOTS}"));
     }
+    check_address(wire.address)?;
     // It is written into the head of each request.
     if !id.bytes().all(|byte| byte.is_ascii_graphic()) {
         return Err("the id has characters that a header can't have".into());
@@ -469,6 +471,16 @@
         .ok_or_else(|| format!("invalid version `{text}`"))
 }
 
+/// Checks that a machine can listen on an address.
+fn check_address(address: SocketAddr) -> Result<(), String> {
+    let ip = address.ip();
+    let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    if address.port() == 0 || ip.is_unspecified() || ip.is_multicast() || is_broadcast {
+        return Err(format!("no machine listens on {address}"));
+    }
+    Ok(())
+}
+
 fn duration_from_millis(value: f64) -> Duration {
     Duration::try_from_secs_f64(value.max(0.0) / 1000.0).unwrap_or(Duration::MAX)
 }
--- a/src/platform/prepared/record/tests.rs
+++ b/src/platform/prepared/record/tests.rs
@@ -167,6 +167,26 @@
     assert!(decode("servers/t", &target_with("slots", MAX_SLOTS.into())).is_ok());
 }
 
+/// A connection to the unspecified address reaches the own machine.
+#[test]
+fn an_address_of_no_machine_is_invalid() {
+    for address in [
+        "0.0.0.0:8080",
+        "[::]:8080",
+        "224.0.0.1:8080",
+        "[ff02::1]:8080",
+        "255.255.255.255:8080",
+        "10.0.0.9:0",
+        "10.0.0.9:65536",
+    ] {
+        let target = decode("servers/t", &target_with("address", address.into()));
+        assert!(target.is_err(), "{target:?}");
+        let instance = serde_json::json!({ "address": address, "zone": "a" }).to_string();
+        let instance = decode(&format!("entries/{address}"), instance.as_bytes());
+        assert!(instance.is_err(), "{instance:?}");
+    }
+}
+
 fn with_accounts(rows: &str) -> String {
     let accounts = format!(
         r#""tenants": {{"columns": ["name", "api_keys", "priority", "rate_per_s", "burst"], "rows": [{rows}]}}, "limits""#
