Refuse records with overlong names

Names of entries go into the messages between instances: the zone of a registration into heartbeats, which are lost above the size of a datagram, and all names of targets into the changes that peers fetch, which are refused above 16 MB. A few entries with versions of a megabyte make every fetch fail, so that instances that do not watch the store follow nothing any more.

A name may be as long as a key of the store, 200 bytes.

--- a/src/platform/prepared/record.rs
+++ b/src/platform/prepared/record.rs
@@ -32,6 +32,8 @@
 /// Prefix of the keys under which entry instances register.
 const INSTANCE_PREFIX: &str = "entries/";
 
+/// Maximum size of a name in a record, in bytes: that of a key of the store.
+const MAX_NAME_BYTES: usize = 200;
 /// Maximum slots of a target, which needs a connection for each.
 const MAX_SLOTS: u32 = 1 << 16;
 
@@ -80,6 +82,7 @@
     if key.starts_with(INSTANCE_PREFIX) {
         let wire: InstanceValue = parse_json(value)?;
         check_address(wire.address)?;
+        check_length("zone", &wire.zone)?;
         return Ok(Some(Record::Instance(Registration {
             address: wire.address,
             zone: ZoneName::from(&*wire.zone),
@@ -125,6 +128,9 @@
         return Err(format!("slots must be at most {MAX_SLOTS}"));
     }
     check_address(wire.address)?;
+    check_length("service", &wire.service)?;
+    check_length("zone", &wire.zone)?;
+    check_length("version", wire.version.as_deref().unwrap_or_default())?;
     // It is written into the head of each request.
     if !id.bytes().all(|byte| byte.is_ascii_graphic()) {
         return Err("the id has characters that a header can't have".into());
@@ -153,6 +159,7 @@
     if service.is_empty() || wire.target_version.is_empty() {
         return Err("the order names no service or target_version".into());
     }
+    check_length("target_version", &wire.target_version)?;
     if wire.duration_s.is_nan() || wire.duration_s <= 0.0 {
         return Err("duration_s must be above 0".into());
     }
@@ -193,6 +200,9 @@
     if wire.format != DECISION_FORMAT {
         return Err(format!("unknown format {}", wire.format));
     }
+    for version in wire.previous.iter().chain([&wire.version]) {
+        check_length("version", version)?;
+    }
     let previous = wire.previous.iter();
     Ok(RolloutDecision {
         service: service.into(),
@@ -471,6 +481,14 @@
         .ok_or_else(|| format!("invalid version `{text}`"))
 }
 
+/// Checks that a name is short enough for messages between instances.
+fn check_length(what: &str, name: &str) -> Result<(), String> {
+    if name.len() > MAX_NAME_BYTES {
+        return Err(format!("{what} must have at most {MAX_NAME_BYTES} bytes"));
+    }
+    Ok(())
+}
+
 /// Checks that a machine can listen on an address.
 fn check_address(address: SocketAddr) -> Result<(), String> {
     let ip = address.ip();
--- a/src/platform/prepared/record/tests.rs
+++ b/src/platform/prepared/record/tests.rs
@@ -187,6 +187,35 @@
     }
 }
 
+/// The entries of all targets must fit a frame to peers, and a zone a heartbeat.
+#[test]
+fn overlong_names_are_invalid() {
+    let long = "x".repeat(MAX_NAME_BYTES + 1);
+    for field in ["service", "zone", "version"] {
+        let decoded = decode("servers/t", &target_with(field, long.as_str().into()));
+        assert!(decoded.is_err(), "{decoded:?}");
+    }
+    let others = [
+        (
+            "entries/10.0.0.1:7000",
+            serde_json::json!({ "address": "10.0.0.1:7000", "zone": long }),
+        ),
+        (
+            "op/rollout/s",
+            serde_json::json!({ "target_version": long, "duration_s": 12 }),
+        ),
+        (
+            "rollouts/s",
+            serde_json::json!({ "format": 1, "version": "v", "previous": [long],
+                "state": "completed", "percent": 100, "ordered_ms": 1 }),
+        ),
+    ];
+    for (key, value) in others {
+        let decoded = decode(key, value.to_string().as_bytes());
+        assert!(decoded.is_err(), "{decoded:?}");
+    }
+}
+
 fn with_accounts(rows: &str) -> String {
     let accounts = format!(
         r#""tenants": {{"columns": ["name", "api_keys", "priority", "rate_per_s", "burst"], "rows": [{rows}]}}, "limits""#
