Shorten the problem of an invalid record

The description of what is wrong with a record quotes the value that is, which may be as long as the store allows. It went into the log whole, and up to 64 of them were kept for the state dump.

It is cut after 200 characters.

--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -25,6 +25,9 @@
 /// Largest response: a page of at most 1 MB, in base64 and with the fields around it.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// Maximum length of the description of what is wrong with a record.
+const MAX_PROBLEM_CHARS: usize = 200;
+
 /// Why a call to the store failed.
 #[derive(Debug, derive_more::Display)]
 pub(crate) enum StoreError {
@@ -349,7 +352,7 @@
             self.rejected.push(RejectedRecord {
                 key: key.clone(),
                 revision: item.rev,
-                problem: problem.clone(),
+                problem: problem.chars().take(MAX_PROBLEM_CHARS).collect(),
             });
         }
         if !is_kept {
--- a/src/platform/prepared/store/tests.rs
+++ b/src/platform/prepared/store/tests.rs
@@ -89,6 +89,18 @@
     assert_eq!(&*set.rejected[0].key, "servers/bad");
 }
 
+/// Problems are logged, and kept for the state dump.
+#[tokio::test]
+async fn the_problem_of_a_huge_record_is_short() {
+    let (store, mut client) = setup().await;
+    let state = "\u{e9}".repeat(100_000);
+    let value = String::from_utf8(target("a")).unwrap();
+    store.put("servers/bad", value.replace("ready", &state).as_bytes());
+    let set = client.watch(position(0), WAIT).await.unwrap();
+    let length = set.rejected[0].problem.len();
+    assert!(length <= 4 * MAX_PROBLEM_CHARS, "{length} bytes");
+}
+
 #[tokio::test]
 async fn an_invalid_configuration_changes_nothing() {
     let (store, mut client) = setup().await;
