Read everything again if changes exceed a response

A watch returns all changes since its position at once. When they were more than the 8 MB that are accepted, as after some seconds without the store in which a writer wrote large values, the watch failed, and was repeated from the same position for ever: the instance followed nothing any more.

Such an answer is treated like compacted history: everything is read again, page by page, and the next watch starts from there.

--- a/src/entry/fleet/sync.rs
+++ b/src/entry/fleet/sync.rs
@@ -91,7 +91,10 @@
                 backoff = Backoff::new();
                 set_access(&shared, StoreAccess::Watching);
             }
-            Err(err @ (StoreError::Compacted | StoreError::Restored)) => {
+            Err(err)
+                if matches!(err, StoreError::Compacted | StoreError::Restored)
+                    || matches!(err, StoreError::TooLarge) && pending_read.is_none() =>
+            {
                 tracing::info!(cause = %err, "reading everything again");
                 // The store may refuse each watch.
                 if pending_read.is_some() || !rereads.is_reset() {
--- a/src/entry/request/attempt.rs
+++ b/src/entry/request/attempt.rs
@@ -418,7 +418,9 @@
             let outcome = match err {
                 ExchangeError::NotSent(_) => AttemptOutcome::NotSent,
                 ExchangeError::RequestBody(_) => AttemptOutcome::BodyFailed,
-                ExchangeError::Lost(_) | ExchangeError::Malformed(_) => AttemptOutcome::Lost,
+                ExchangeError::Lost(_)
+                | ExchangeError::TooLarge(_)
+                | ExchangeError::Malformed(_) => AttemptOutcome::Lost,
             };
             return (outcome, None, err.to_string());
         }
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -73,6 +73,9 @@
     /// The request may have been sent, and no complete response was received.
     #[display("{_0}")]
     Lost(String),
+    /// The response's body exceeds [`OutgoingRequest::max_response_bytes`].
+    #[display("the body exceeds the limit of {_0} bytes")]
+    TooLarge(usize),
     /// The received bytes are not a valid HTTP response.
     #[display("{_0}")]
     Malformed(&'static str),
@@ -85,6 +88,7 @@
     fn from(err: BodyError) -> Self {
         match err {
             BodyError::Malformed(what) => Self::Malformed(what),
+            BodyError::TooLarge(max) => Self::TooLarge(max),
             other => Self::Lost(other.to_string()),
         }
     }
--- a/src/http1/tests/client.rs
+++ b/src/http1/tests/client.rs
@@ -30,6 +30,7 @@
             Ok(resp) => format!("{} {:?}", resp.status, resp.body),
             Err(ExchangeError::NotSent(_)) => "not sent".into(),
             Err(ExchangeError::Lost(_)) => "lost".into(),
+            Err(ExchangeError::TooLarge(_)) => "too large".into(),
             Err(ExchangeError::Malformed(_)) => "malformed".into(),
             Err(ExchangeError::RequestBody(_)) => "body not sent".into(),
         };
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -44,6 +44,9 @@
     /// The key is not at the expected revision.
     #[display("the key is not at the expected revision")]
     Conflict,
+    /// The response exceeds the limit.
+    #[display("the response exceeds {MAX_RESPONSE_BYTES} bytes")]
+    TooLarge,
     /// No response; a write may have been made, or may still be made.
     #[display("no response: {_0}")]
     OutcomeUnknown(String),
@@ -148,6 +151,8 @@
     }
 
     /// Waits for changes after `position`; the result has none if none came within `wait`.
+    /// If they are too many for one response, the result is [`StoreError::TooLarge`], and
+    /// everything must be read again.
     /// In a later era, the result is [`StoreError::Restored`]: the changes after that
     /// revision are then not all that the position lacks.
     pub(crate) async fn watch(
@@ -272,9 +277,9 @@
             memory: None,
         };
         let resp = match tokio::time::timeout(timeout, conn.exchange(&outgoing, |_| true)).await {
-            Ok(resp) => {
-                resp.map_err(|err: ExchangeError| StoreError::OutcomeUnknown(err.to_string()))?
-            }
+            Ok(Ok(resp)) => resp,
+            Ok(Err(ExchangeError::TooLarge(_))) => return Err(StoreError::TooLarge),
+            Ok(Err(err)) => return Err(StoreError::OutcomeUnknown(err.to_string())),
             Err(_) => return Err(StoreError::OutcomeUnknown("timed out".into())),
         };
         self.conn = Some(conn);
--- a/src/platform/prepared/store/tests.rs
+++ b/src/platform/prepared/store/tests.rs
@@ -172,6 +172,20 @@
     }
 }
 
+/// The next watch would get the same changes, and fail again.
+#[tokio::test]
+async fn changes_that_exceed_the_size_of_a_response_are_read_again_page_by_page() {
+    let (store, mut client) = setup().await;
+    let large = vec![b'x'; MAX_RESPONSE_BYTES / 100];
+    for number in 0..100 {
+        store.put(&format!("servers/t{number:02}"), &large);
+    }
+    let result = client.watch(position(0), WAIT).await;
+    assert!(matches!(result, Err(StoreError::TooLarge)), "{result:?}");
+    let set = client.read_all(ReadConsistency::Linearizable).await;
+    assert_eq!(set.unwrap().revision, 100);
+}
+
 #[tokio::test]
 async fn an_invalid_configuration_changes_nothing() {
     let (store, mut client) = setup().await;
@@ -220,6 +234,7 @@
         Err(StoreError::Restored) => "restored",
         Err(StoreError::Conflict) => "conflict",
         Err(StoreError::OutcomeUnknown(_)) => "unknown",
+        Err(StoreError::TooLarge) => "too large",
         Err(StoreError::Malformed(_)) => "malformed",
     }
 }
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -6,6 +6,7 @@
 mod entry_crashes;
 mod entry_leaving;
 mod entry_limits;
+mod entry_odd_entries;
 mod entry_pipelining;
 mod entry_restore;
 mod entry_rollouts;
