Take a reported slowness of 0 as unknown

A target's load may name 0 as the time that work takes, in percent of the usual one. The cost of such a target was zero times all else that counts against it, its load, health and failures included, so that all instances preferred it to the others while it had a free slot.

No work takes no time: 0 counts like a load without this number.

--- a/src/platform/prepared/wire.rs
+++ b/src/platform/prepared/wire.rs
@@ -152,8 +152,8 @@
     query.split('&').find_map(|pair| pair.strip_prefix("zone="))
 }
 
-/// Parses `running,waiting,slots` and, optionally, a fourth number: the time that work
-/// takes in percent of the usual one.
+/// Parses `running,waiting,slots` and, optionally, a fourth number above 0: the time that
+/// work takes in percent of the usual one.
 fn parse_load(text: &str) -> Option<Load> {
     let mut numbers = text.split(',').map(|part| part.trim().parse::<u32>());
     let mut next = || numbers.next()?.ok();
@@ -161,7 +161,7 @@
         running: next()?,
         waiting: next()?,
         slots: next()?,
-        slowness_percent: next().unwrap_or(100),
+        slowness_percent: next().filter(|percent| *percent > 0).unwrap_or(100),
     })
 }
 
--- a/src/platform/prepared/wire/tests.rs
+++ b/src/platform/prepared/wire/tests.rs
@@ -40,6 +40,11 @@
         parse_load("3, 0, 8, 90").map(|load| load.slowness_percent),
         Some(90)
     );
+    // No work takes no time; such a target would be preferred to all others.
+    assert_eq!(
+        parse_load("3,0,8,0").map(|load| load.slowness_percent),
+        Some(100)
+    );
     for invalid in ["", "3,0", "3,x,8", "-1,0,8"] {
         assert_eq!(parse_load(invalid), None, "{invalid}");
     }
