Judge responses of absurdly loaded targets without a panic

While a roll-out runs, a response's time is compared with what its target's reported load explains. With the largest numbers that a load can have and a long service time, that expected time is no Duration, and the task of the caller's connection panicked, so that the caller got no response.

The times are compared as seconds.

--- a/src/entry/rollout/observed.rs
+++ b/src/entry/rollout/observed.rs
@@ -57,10 +57,9 @@
     /// Whether `took` is longer than the target's load and machine explain.
     fn is_slow(&self, took: Duration) -> bool {
         let waiting = (self.occupied + 1.0 - self.slots).max(0.0) / self.slots.max(1.0);
-        let expected = self
-            .service_time
-            .mul_f64(self.slowness.max(1.0) * (1.0 + waiting));
-        took > expected.mul_f64(SLOW_FACTOR)
+        // As seconds, since loads may be absurd.
+        let expected = self.service_time.as_secs_f64() * self.slowness.max(1.0) * (1.0 + waiting);
+        took.as_secs_f64() > expected * SLOW_FACTOR
     }
 
     /// What an attempt that ended after `took` says; `None` if it says nothing.
--- a/src/entry/rollout/observed/tests.rs
+++ b/src/entry/rollout/observed/tests.rs
@@ -88,3 +88,17 @@
     assert_eq!(cancelled(250), None);
     assert_eq!(cancelled(310), Some(Response::Slow));
 }
+
+/// Targets may report any numbers.
+#[test]
+fn absurd_loads_are_judged_without_overflow() {
+    let absurd = Conditions {
+        service_time: Duration::from_secs(3600),
+        slowness: f64::from(u32::MAX),
+        occupied: f64::from(u32::MAX),
+        slots: 1.0,
+        ..conditions()
+    };
+    let response = after(&absurd, AttemptOutcome::Answered, 100);
+    assert_eq!(response, Some(Response::Good));
+}
