Bound the durations in records

A duration above what can be represented was taken as the longest one. As a route's timeout or an idle time of the limits it was then added to the present time, which panicked: callers that named no deadline or sent a body had their connections closed without a response.

A duration in a record is at most a year, which can be added to any time.

--- a/src/platform/prepared/record.rs
+++ b/src/platform/prepared/record.rs
@@ -36,6 +36,9 @@
 const MAX_NAME_BYTES: usize = 200;
 /// Maximum slots of a target, which needs a connection for each.
 const MAX_SLOTS: u32 = 1 << 16;
+/// Maximum duration in a record. A longer one is taken as this one, which can be added to
+/// any time.
+const MAX_DURATION: Duration = Duration::from_secs(365 * 24 * 3600);
 
 /// Returns the key under which the instance at `address` registers.
 pub(crate) fn registration_key(address: SocketAddr) -> String {
@@ -500,7 +503,9 @@
 }
 
 fn duration_from_millis(value: f64) -> Duration {
-    Duration::try_from_secs_f64(value.max(0.0) / 1000.0).unwrap_or(Duration::MAX)
+    Duration::try_from_secs_f64(value.max(0.0) / 1000.0)
+        .unwrap_or(MAX_DURATION)
+        .min(MAX_DURATION)
 }
 
 fn parse_json<T: DeserializeOwned>(value: &[u8]) -> Result<T, String> {
