--- a/src/platform/prepared/record/tests.rs
+++ b/src/platform/prepared/record/tests.rs
@@ -216,6 +216,35 @@
     }
 }
 
+#[test]
+fn odd_values_of_a_target_are_errors_or_taken_without_a_panic() {
+    let nested = format!("{}{}", "[".repeat(50_000), "]".repeat(50_000));
+    let entry = |field: &str, value: &str| {
+        let text = String::from_utf8(target_with(field, "ODD".into())).unwrap();
+        text.replace("\"ODD\"", value).into_bytes()
+    };
+    for field in ["slots", "warmup_left_ms", "born", "address", "version"] {
+        for value in [
+            &nested,
+            "1e400",
+            "-1e400",
+            "18446744073709551616",
+            "-1",
+            "1.5",
+            "{}",
+        ] {
+            let decoded = decode("servers/t", &entry(field, value));
+            let harmless = field == "warmup_left_ms" && !value.contains("e400");
+            assert!(decoded.is_err() || harmless, "{field} {decoded:?}");
+        }
+    }
+    // What isn't used may be anything.
+    for value in [&nested, "1e400"] {
+        let decoded = decode("servers/t", &entry("sequence", value));
+        assert!(decoded.is_ok(), "{decoded:?}");
+    }
+}
+
 fn with_accounts(rows: &str) -> String {
     let accounts = format!(
         r#""tenants": {{"columns": ["name", "api_keys", "priority", "rate_per_s", "burst"], "rows": [{rows}]}}, "limits""#
