Replace invalid records under own keys

An instance registers, and writes decisions on roll-outs, on the condition that the key is at the revision that it knows. An invalid record of another writer counts as removed, so that the condition was that the key doesn't exist, and never held: the instance stayed unregistered, and no decision on the service's roll-out could be written, roll-backs included.

The revision of an invalid record is the condition now, as long as the record is the last known change of its key. A registration that names another address than its key is invalid too. A decision that may be of a later release is still never replaced.

Both tests of processes failed before: after 30 s the registration was the odd one (an_instance_registers_in_place_of_an_odd_entry_under_its_key), and "decision of a roll-out not written", "the key is not at the expected revision" was logged each second (a_version_is_rolled_out_although_another_writer_left_an_odd_decision).

--- a/src/entry/fleet/replica.rs
+++ b/src/entry/fleet/replica.rs
@@ -114,6 +114,17 @@
         self.entries.get(key).map(|entry| entry.revision)
     }
 
+    /// Revision at which a key's record was last removed; `None` if it has a record or the
+    /// removal is not known.
+    #[must_use]
+    pub fn removed_at(&self, key: &str) -> Option<u64> {
+        if self.entries.contains_key(key) {
+            return None;
+        }
+        let removals = self.tombstones.iter().filter(|(_, known)| **known == *key);
+        removals.map(|(at, _)| *at).max()
+    }
+
     /// Record of a key; `None` when there is none.
     #[must_use]
     pub fn record_of(&self, key: &str) -> Option<&Record> {
--- a/src/entry/fleet/sync.rs
+++ b/src/entry/fleet/sync.rs
@@ -240,7 +240,6 @@
 fn apply(shared: &Shared, change_set: ChangeSet, complete: bool) {
     let now = shared.now();
     log_position(shared, &change_set, complete);
-    shared.record_rejected(change_set.rejected);
     let changes: Vec<Change> = change_set.changes;
     let delta = Delta {
         era: change_set.era,
@@ -248,7 +247,10 @@
         complete,
         changes,
     };
-    if shared.state().apply(now, delta, "store") {
+    let has_changed = shared.state().apply(now, delta, "store");
+    // They replace records, which drops what was known to be invalid under these keys.
+    shared.record_rejected(change_set.rejected);
+    if has_changed {
         shared.capacity_freed.notify_waiters();
     }
 }
@@ -323,7 +325,8 @@
     }
 }
 
-/// Writes this instance's registration unless it exists from an earlier run.
+/// Writes this instance's registration unless it exists from an earlier run. It replaces one
+/// that is invalid.
 async fn ensure_registered(
     shared: &Shared,
     store_client: &mut StoreClient,
@@ -332,7 +335,8 @@
 ) {
     let mut backoff = Backoff::new();
     while shared.state().replica.revision_of(key).is_none() {
-        match store_client.put_if(key, value, 0).await {
+        let revision = shared.state().stored_revision(key);
+        match store_client.put_if(key, value, revision).await {
             Ok(()) => {
                 tracing::info!(key, "registered");
                 return;
--- a/src/entry/fleet/sync/tests.rs
+++ b/src/entry/fleet/sync/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::entry::testing::instance_with;
 use crate::platform::prepared::store::WATCH_MARGIN;
 
 /// Time from the store's return until a configuration must be in force everywhere: the
@@ -35,3 +36,38 @@
     assert_eq!(watch_timeout(true, &tuning), tuning.watch_timeout);
     assert!(watch_timeout(false, &tuning) < tuning.watch_timeout / 4);
 }
+
+/// What the store holds under a key is replaced at its revision while it is invalid, and
+/// never if it may be valid for a later release.
+#[test]
+fn an_invalid_record_is_replaced_unless_it_is_of_a_later_release() {
+    let shared = instance_with(&[]);
+    let key: Arc<str> = "rollouts/s".into();
+    for (revision, problem, is_later, expected) in [
+        (9, Some("odd"), false, 9),
+        (10, Some("unknown format 2"), true, 0),
+        (11, Some("odd"), false, 11),
+        (12, None, false, 0),
+    ] {
+        let removal = Change {
+            key: key.clone(),
+            revision,
+            record: None,
+        };
+        let rejected = problem.map(|problem| RejectedRecord {
+            key: key.clone(),
+            revision,
+            problem: problem.to_owned(),
+            is_later,
+        });
+        let change_set = ChangeSet {
+            changes: vec![removal],
+            era: 0,
+            revision,
+            rejected: rejected.into_iter().collect(),
+        };
+        apply(&shared, change_set, false);
+        let stored = shared.state().stored_revision(&key);
+        assert_eq!(stored, expected, "at {revision}");
+    }
+}
--- a/src/entry/rollout/duty.rs
+++ b/src/entry/rollout/duty.rs
@@ -87,7 +87,7 @@
     facts: Facts,
     /// Versions of its targets that get requests, without the ordered one.
     previous: Vec<VersionName>,
-    /// Revision of its decision in the replica.
+    /// Revision of its decision in the store.
     revision: u64,
 }
 
@@ -134,7 +134,7 @@
         ServiceView {
             facts: facts.unwrap_or_default(),
             previous: self.previous_versions(&service),
-            revision: self.replica.revision_of(&key).unwrap_or_default(),
+            revision: self.stored_revision(&key),
             service,
         }
     }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -268,6 +268,17 @@
         }
     }
 
+    /// Revision of a key in the store, as a condition of writing it: that of its record, even
+    /// if it is invalid; 0 if there is none, or one of a later release.
+    pub(crate) fn stored_revision(&self, key: &str) -> u64 {
+        let rejected = self.rejected.get(key).filter(|record| !record.is_later);
+        // It counts as removed, until it is removed or replaced.
+        let rejected = rejected.map(|record| record.revision);
+        let rejected = rejected.filter(|at| self.replica.removed_at(key) == Some(*at));
+        let revision = self.replica.revision_of(key).or(rejected);
+        revision.unwrap_or_default()
+    }
+
     #[expect(
         clippy::cast_precision_loss,
         reason = "some thousand instances at most"
--- a/src/platform/prepared/record.rs
+++ b/src/platform/prepared/record.rs
@@ -86,6 +86,9 @@
         let wire: InstanceValue = parse_json(value)?;
         check_address(wire.address)?;
         check_length("zone", &wire.zone)?;
+        if key != registration_key(wire.address) {
+            return Err(format!("it names another address, {}", wire.address));
+        }
         return Ok(Some(Record::Instance(Registration {
             address: wire.address,
             zone: ZoneName::from(&*wire.zone),
@@ -220,6 +223,17 @@
     })
 }
 
+/// Whether a record that can't be decoded may be a valid one of a later release, which must
+/// not be replaced.
+pub(crate) fn is_of_later_release(key: &str, value: &[u8]) -> bool {
+    #[derive(Deserialize)]
+    struct Format {
+        format: u32,
+    }
+    let format = serde_json::from_slice(value).map_or(0, |Format { format }| format);
+    key.starts_with(ROLLOUT_DECISION_PREFIX) && format > DECISION_FORMAT
+}
+
 /// Key of the decision on a service's roll-out.
 pub(crate) fn decision_key(service: &ServiceName) -> String {
     format!("{ROLLOUT_DECISION_PREFIX}{service}")
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use base64::{DecodeError, Engine};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Deserializer};
 use serde_json::json;
@@ -87,6 +87,9 @@
     pub revision: u64,
     /// What is wrong with it.
     pub problem: String,
+    /// Whether it may be a valid one of a later release.
+    #[serde(skip)]
+    pub is_later: bool,
 }
 
 /// Client with one connection to the store, which is opened on demand.
@@ -369,6 +372,7 @@
                 decoded => decoded,
             }
         };
+        let is_later = decoded.is_err() && item.is_of_later_release();
         let key: Arc<str> = item.key.into();
         let is_kept = decoded.is_err() && (record::is_configuration(&key) || item.rev == 0);
         if let Err(problem) = &decoded {
@@ -376,6 +380,7 @@
                 key: key.clone(),
                 revision: item.rev,
                 problem: problem.chars().take(MAX_PROBLEM_CHARS).collect(),
+                is_later,
             });
         }
         if !is_kept {
@@ -412,10 +417,18 @@
         if let Some(problem) = &self.problem {
             return Err(problem.clone());
         }
-        let value = self.value.as_deref().unwrap_or_default();
-        let value = STANDARD.decode(value).map_err(|err| err.to_string())?;
+        let value = self.value().map_err(|err| err.to_string())?;
         record::decode(&self.key, &value)
     }
+
+    fn is_of_later_release(&self) -> bool {
+        let value = self.value();
+        value.is_ok_and(|value| record::is_of_later_release(&self.key, &value))
+    }
+
+    fn value(&self) -> Result<Vec<u8>, DecodeError> {
+        STANDARD.decode(self.value.as_deref().unwrap_or_default())
+    }
 }
 
 /// Percent-encodes a value for use in a query string.
--- a/src/platform/prepared/store/tests.rs
+++ b/src/platform/prepared/store/tests.rs
@@ -107,6 +107,17 @@
     assert!(length <= 4 * MAX_PROBLEM_CHARS, "{length} bytes");
 }
 
+#[tokio::test]
+async fn an_invalid_decision_may_be_of_a_later_release() {
+    let (store, mut client) = setup().await;
+    for value in ["odd", r#"{"format":1}"#, r#"{"format":2}"#] {
+        store.put("rollouts/s", value.as_bytes());
+    }
+    let set = client.watch(position(0), WAIT).await.unwrap();
+    let later: Vec<bool> = set.rejected.iter().map(|record| record.is_later).collect();
+    assert_eq!(later, [false, false, true]);
+}
+
 /// A store that answers each call with this body, in ISO 8859-1.
 async fn answering(body: &str) -> StoreClient {
     let bytes = body.chars().map(|char| u8::try_from(char).unwrap());
--- a/tests/entry_odd_entries/mod.rs
+++ b/tests/entry_odd_entries/mod.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use serde_json::{Value, json};
-use standin::prepared::settings::configuration;
+use standin::prepared::settings::{PEER_PORT, configuration};
 use standin::prepared::store::Mode;
 
 use super::entry_cluster::EntryCluster;
@@ -103,6 +103,25 @@
     }
 }
 
+#[tokio::test]
+async fn an_instance_registers_in_place_of_an_odd_entry_under_its_key() {
+    let mut cluster = EntryCluster::start(2, 1).await;
+    let key = format!("entries/{}:{PEER_PORT}", cluster.caller_address(1).ip());
+    let registration = || async { cluster.store.value(&key) };
+    cluster.wait_until(registration, |_| true).await;
+    let sound = cluster.store.value(&key).unwrap();
+    let elsewhere = json!({ "address": CLOSED, "zone": "a" }).to_string();
+    for odd in ["odd", &elsewhere] {
+        cluster.kill(1);
+        cluster.store.put(&key, odd.as_bytes());
+        cluster.launch(1);
+        let registration = || async { cluster.store.value(&key) };
+        cluster
+            .wait_until(registration, |value| *value == sound)
+            .await;
+    }
+}
+
 #[tokio::test]
 async fn requests_are_served_with_absurd_times_in_the_configuration() {
     let cluster = EntryCluster::start(1, 1).await;
--- a/tests/entry_rollouts/mod.rs
+++ b/tests/entry_rollouts/mod.rs
@@ -256,3 +256,15 @@
     assert_eq!(resp.status, 200, "{resp:?}");
     drop(load);
 }
+
+#[tokio::test]
+async fn a_version_is_rolled_out_although_another_writer_left_an_odd_decision() {
+    let mut cluster = start().await;
+    cluster.store.put("rollouts/s", b"odd");
+    cluster
+        .wait_for_first_log("skipped an invalid record")
+        .await;
+    let _load = Load::start(&cluster);
+    cluster.roll_out(DURATION_S).await;
+    cluster.wait_for_state("v2", "running").await;
+}
