--- a/src/platform/prepared/record.rs
+++ b/src/platform/prepared/record.rs
@@ -1,6 +1,6 @@
 //! Decodes the records of the platform's store into the types of [`crate::entry::model`].
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,6 +32,14 @@
 /// Prefix of the keys under which entry instances register.
 const INSTANCE_PREFIX: &str = "entries/";
 
+/// Maximum size of a name in a record, in bytes: that of a key of the store.
+const MAX_NAME_BYTES: usize = 200;
+/// Maximum slots of a target, which needs a connection for each.
+const MAX_SLOTS: u32 = 1 << 16;
+/// Maximum duration in a record. A longer one is taken as this one, which can be added to
+/// any time.
+const MAX_DURATION: Duration = Duration::from_secs(365 * 24 * 3600);
+
 /// Returns the key under which the instance at `address` registers.
 pub(crate) fn registration_key(address: SocketAddr) -> String {
     format!("{INSTANCE_PREFIX}{address}")
@@ -76,6 +84,11 @@
     }
     if key.starts_with(INSTANCE_PREFIX) {
         let wire: InstanceValue = parse_json(value)?;
+        check_address(wire.address)?;
+        check_length("zone", &wire.zone)?;
+        if key != registration_key(wire.address) {
+            return Err(format!("it names another address, {}", wire.address));
+        }
         return Ok(Some(Record::Instance(Registration {
             address: wire.address,
             zone: ZoneName::from(&*wire.zone),
@@ -117,6 +130,17 @@
     if id.is_empty() || wire.service.is_empty() || wire.slots == 0 {
         return Err("the target has no id, service or slots".into());
     }
+    if wire.slots > MAX_SLOTS {
+        return Err(format!("slots must be at most {MAX_SLOTS}"));
+    }
+    check_address(wire.address)?;
+    check_length("service", &wire.service)?;
+    check_length("zone", &wire.zone)?;
+    check_length("version", wire.version.as_deref().unwrap_or_default())?;
+    // It is written into the head of each request.
+    if !id.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err("the id has characters that a header can't have".into());
+    }
     Ok(Target {
         id: id.into(),
         service: (&*wire.service).into(),
@@ -141,6 +165,7 @@
     if service.is_empty() || wire.target_version.is_empty() {
         return Err("the order names no service or target_version".into());
     }
+    check_length("target_version", &wire.target_version)?;
     if wire.duration_s.is_nan() || wire.duration_s <= 0.0 {
         return Err("duration_s must be above 0".into());
     }
@@ -181,6 +206,9 @@
     if wire.format != DECISION_FORMAT {
         return Err(format!("unknown format {}", wire.format));
     }
+    for version in wire.previous.iter().chain([&wire.version]) {
+        check_length("version", version)?;
+    }
     let previous = wire.previous.iter();
     Ok(RolloutDecision {
         service: service.into(),
@@ -195,6 +223,17 @@
     })
 }
 
+/// Whether a record that can't be decoded may be a valid one of a later release, which must
+/// not be replaced.
+pub(crate) fn is_of_later_release(key: &str, value: &[u8]) -> bool {
+    #[derive(Deserialize)]
+    struct Format {
+        format: u32,
+    }
+    let format = serde_json::from_slice(value).map_or(0, |Format { format }| format);
+    key.starts_with(ROLLOUT_DECISION_PREFIX) && format > DECISION_FORMAT
+}
+
 /// Key of the decision on a service's roll-out.
 pub(crate) fn decision_key(service: &ServiceName) -> String {
     format!("{ROLLOUT_DECISION_PREFIX}{service}")
@@ -459,8 +498,28 @@
         .ok_or_else(|| format!("invalid version `{text}`"))
 }
 
+/// Checks that a name is short enough for messages between instances.
+fn check_length(what: &str, name: &str) -> Result<(), String> {
+    if name.len() > MAX_NAME_BYTES {
+        return Err(format!("{what} must have at most {MAX_NAME_BYTES} bytes"));
+    }
+    Ok(())
+}
+
+/// Checks that a machine can listen on an address.
+fn check_address(address: SocketAddr) -> Result<(), String> {
+    let ip = address.ip();
+    let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    if address.port() == 0 || ip.is_unspecified() || ip.is_multicast() || is_broadcast {
+        return Err(format!("no machine listens on {address}"));
+    }
+    Ok(())
+}
+
 fn duration_from_millis(value: f64) -> Duration {
-    Duration::try_from_secs_f64(value.max(0.0) / 1000.0).unwrap_or(Duration::MAX)
+    Duration::try_from_secs_f64(value.max(0.0) / 1000.0)
+        .unwrap_or(MAX_DURATION)
+        .min(MAX_DURATION)
 }
 
 fn parse_json<T: DeserializeOwned>(value: &[u8]) -> Result<T, String> {
--- a/src/platform/prepared/record/tests.rs
+++ b/src/platform/prepared/record/tests.rs
@@ -138,6 +138,113 @@
     }
 }
 
+/// An entry of a target with this field replaced.
+fn target_with(field: &str, value: serde_json::Value) -> Vec<u8> {
+    let mut entry = serde_json::json!({
+        "service": "s", "address": "10.0.0.9:8080", "zone": "a", "version": "v1", "slots": 6,
+        "state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1,
+    });
+    entry[field] = value;
+    entry.to_string().into_bytes()
+}
+
+/// The id is written into the head of each request.
+#[test]
+fn an_id_that_does_not_fit_a_header_names_no_target() {
+    for id in ["t\r\nx-smuggled: 1", "t\n", "t u", "t\0", "\u{e9}"] {
+        let decoded = decode(&format!("servers/{id}"), &target_with("slots", 6.into()));
+        assert!(decoded.is_err(), "{decoded:?}");
+    }
+}
+
+/// Such a target alone would seem to have room for all requests.
+#[test]
+fn absurdly_many_slots_name_no_target() {
+    for slots in [u32::MAX, MAX_SLOTS + 1] {
+        let decoded = decode("servers/t", &target_with("slots", slots.into()));
+        assert!(decoded.is_err(), "{decoded:?}");
+    }
+    assert!(decode("servers/t", &target_with("slots", MAX_SLOTS.into())).is_ok());
+}
+
+/// A connection to the unspecified address reaches the own machine.
+#[test]
+fn an_address_of_no_machine_is_invalid() {
+    for address in [
+        "0.0.0.0:8080",
+        "[::]:8080",
+        "224.0.0.1:8080",
+        "[ff02::1]:8080",
+        "255.255.255.255:8080",
+        "10.0.0.9:0",
+        "10.0.0.9:65536",
+    ] {
+        let target = decode("servers/t", &target_with("address", address.into()));
+        assert!(target.is_err(), "{target:?}");
+        let instance = serde_json::json!({ "address": address, "zone": "a" }).to_string();
+        let instance = decode(&format!("entries/{address}"), instance.as_bytes());
+        assert!(instance.is_err(), "{instance:?}");
+    }
+}
+
+/// The entries of all targets must fit a frame to peers, and a zone a heartbeat.
+#[test]
+fn overlong_names_are_invalid() {
+    let long = "x".repeat(MAX_NAME_BYTES + 1);
+    for field in ["service", "zone", "version"] {
+        let decoded = decode("servers/t", &target_with(field, long.as_str().into()));
+        assert!(decoded.is_err(), "{decoded:?}");
+    }
+    let others = [
+        (
+            "entries/10.0.0.1:7000",
+            serde_json::json!({ "address": "10.0.0.1:7000", "zone": long }),
+        ),
+        (
+            "op/rollout/s",
+            serde_json::json!({ "target_version": long, "duration_s": 12 }),
+        ),
+        (
+            "rollouts/s",
+            serde_json::json!({ "format": 1, "version": "v", "previous": [long],
+                "state": "completed", "percent": 100, "ordered_ms": 1 }),
+        ),
+    ];
+    for (key, value) in others {
+        let decoded = decode(key, value.to_string().as_bytes());
+        assert!(decoded.is_err(), "{decoded:?}");
+    }
+}
+
+#[test]
+fn odd_values_of_a_target_are_errors_or_taken_without_a_panic() {
+    let nested = format!("{}{}", "[".repeat(50_000), "]".repeat(50_000));
+    let entry = |field: &str, value: &str| {
+        let text = String::from_utf8(target_with(field, "ODD".into())).unwrap();
+        text.replace("\"ODD\"", value).into_bytes()
+    };
+    for field in ["slots", "warmup_left_ms", "born", "address", "version"] {
+        for value in [
+            &nested,
+            "1e400",
+            "-1e400",
+            "18446744073709551616",
+            "-1",
+            "1.5",
+            "{}",
+        ] {
+            let decoded = decode("servers/t", &entry(field, value));
+            let harmless = field == "warmup_left_ms" && !value.contains("e400");
+            assert!(decoded.is_err() || harmless, "{field} {decoded:?}");
+        }
+    }
+    // What isn't used may be anything.
+    for value in [&nested, "1e400"] {
+        let decoded = decode("servers/t", &entry("sequence", value));
+        assert!(decoded.is_ok(), "{decoded:?}");
+    }
+}
+
 fn with_accounts(rows: &str) -> String {
     let accounts = format!(
         r#""tenants": {{"columns": ["name", "api_keys", "priority", "rate_per_s", "burst"], "rows": [{rows}]}}, "limits""#
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -6,15 +6,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use serde::Deserialize;
+use base64::{DecodeError, Engine};
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Deserializer};
 use serde_json::json;
+use serde_json::value::RawValue;
 
 use super::{record, wire};
 use crate::entry::fleet::replica::Position;
-use crate::entry::model::Change;
+use crate::entry::model::{Change, Record};
 use crate::http1::client::{Conn, ExchangeError, OutgoingRequest, Response};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -25,6 +26,9 @@
 /// Largest response: a page of at most 1 MB, in base64 and with the fields around it.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// Maximum length of the description of what is wrong with a record.
+const MAX_PROBLEM_CHARS: usize = 200;
+
 /// Why a call to the store failed.
 #[derive(Debug, derive_more::Display)]
 pub(crate) enum StoreError {
@@ -40,6 +44,9 @@
     /// The key is not at the expected revision.
     #[display("the key is not at the expected revision")]
     Conflict,
+    /// The response exceeds the limit.
+    #[display("the response exceeds {MAX_RESPONSE_BYTES} bytes")]
+    TooLarge,
     /// No response; a write may have been made, or may still be made.
     #[display("no response: {_0}")]
     OutcomeUnknown(String),
@@ -80,6 +87,9 @@
     pub revision: u64,
     /// What is wrong with it.
     pub problem: String,
+    /// Whether it may be a valid one of a later release.
+    #[serde(skip)]
+    pub is_later: bool,
 }
 
 /// Client with one connection to the store, which is opened on demand.
@@ -124,8 +134,11 @@
             if era != first_era {
                 return Err(StoreError::Restored);
             }
-            if let Some(last) = page.items.last() {
+            let last = page.items.iter().rfind(|item| !item.key.is_empty());
+            if let Some(last) = last {
                 after.clone_from(&last.key);
+            } else if page.more_pages && !page.items.is_empty() {
+                return Err(StoreError::Malformed("no key of a page can be read".into()));
             }
             let more = page.more_pages && !page.items.is_empty();
             items.extend(page.items);
@@ -141,6 +154,8 @@
     }
 
     /// Waits for changes after `position`; the result has none if none came within `wait`.
+    /// If they are too many for one response, the result is [`StoreError::TooLarge`], and
+    /// everything must be read again.
     /// In a later era, the result is [`StoreError::Restored`]: the changes after that
     /// revision are then not all that the position lacks.
     pub(crate) async fn watch(
@@ -265,9 +280,9 @@
             memory: None,
         };
         let resp = match tokio::time::timeout(timeout, conn.exchange(&outgoing, |_| true)).await {
-            Ok(resp) => {
-                resp.map_err(|err: ExchangeError| StoreError::OutcomeUnknown(err.to_string()))?
-            }
+            Ok(Ok(resp)) => resp,
+            Ok(Err(ExchangeError::TooLarge(_))) => return Err(StoreError::TooLarge),
+            Ok(Err(err)) => return Err(StoreError::OutcomeUnknown(err.to_string())),
             Err(_) => return Err(StoreError::OutcomeUnknown("timed out".into())),
         };
         self.conn = Some(conn);
@@ -287,7 +302,9 @@
 fn decode_response<T: DeserializeOwned>(resp: &Response) -> Result<T, StoreError> {
     match resp.status {
         200 => {
-            serde_json::from_slice(&resp.body).map_err(|err| StoreError::Malformed(err.to_string()))
+            // Only the item with bytes that are no text is then odd.
+            let text = String::from_utf8_lossy(&resp.body);
+            serde_json::from_str(&text).map_err(|err| StoreError::Malformed(err.to_string()))
         }
         404 | 410 => Err(StoreError::Compacted),
         412 => Err(StoreError::Conflict),
@@ -297,6 +314,7 @@
 
 #[derive(Deserialize)]
 struct Page {
+    #[serde(deserialize_with = "deserialize_items")]
     items: Vec<Item>,
     #[serde(default)]
     more_pages: bool,
@@ -305,6 +323,7 @@
 
 #[derive(Deserialize)]
 struct Events {
+    #[serde(deserialize_with = "deserialize_items")]
     events: Vec<Item>,
     store_revision: u64,
 }
@@ -317,6 +336,16 @@
     rev: u64,
     #[serde(default)]
     removed: bool,
+    /// Why it can't be read, if so. The key is then empty and the revision 0 unless these can.
+    #[serde(skip)]
+    problem: Option<String>,
+}
+
+/// Reads each item on its own, so that one that can't be read does not end the read or the
+/// watch of all others.
+fn deserialize_items<'de, D: Deserializer<'de>>(de: D) -> Result<Vec<Item>, D::Error> {
+    let items = Vec::<&'de RawValue>::deserialize(de)?;
+    Ok(items.into_iter().map(Item::read).collect())
 }
 
 impl ChangeSet {
@@ -343,13 +372,15 @@
                 decoded => decoded,
             }
         };
+        let is_later = decoded.is_err() && item.is_of_later_release();
         let key: Arc<str> = item.key.into();
-        let is_kept = decoded.is_err() && record::is_configuration(&key);
+        let is_kept = decoded.is_err() && (record::is_configuration(&key) || item.rev == 0);
         if let Err(problem) = &decoded {
             self.rejected.push(RejectedRecord {
                 key: key.clone(),
                 revision: item.rev,
-                problem: problem.clone(),
+                problem: problem.chars().take(MAX_PROBLEM_CHARS).collect(),
+                is_later,
             });
         }
         if !is_kept {
@@ -363,11 +394,41 @@
 }
 
 impl Item {
-    fn decode(&self) -> Result<Option<crate::entry::model::Record>, String> {
-        let value = self.value.as_deref().unwrap_or_default();
-        let value = STANDARD.decode(value).map_err(|err| err.to_string())?;
+    fn read(raw: &RawValue) -> Self {
+        #[derive(Deserialize)]
+        struct Key {
+            key: String,
+        }
+        #[derive(Deserialize)]
+        struct Revision {
+            rev: u64,
+        }
+        let text = raw.get();
+        serde_json::from_str(text).unwrap_or_else(|err| Self {
+            key: serde_json::from_str(text).map_or_else(|_| String::new(), |Key { key }| key),
+            value: None,
+            rev: serde_json::from_str(text).map_or(0, |Revision { rev }| rev),
+            removed: false,
+            problem: Some(err.to_string()),
+        })
+    }
+
+    fn decode(&self) -> Result<Option<Record>, String> {
+        if let Some(problem) = &self.problem {
+            return Err(problem.clone());
+        }
+        let value = self.value().map_err(|err| err.to_string())?;
         record::decode(&self.key, &value)
     }
+
+    fn is_of_later_release(&self) -> bool {
+        let value = self.value();
+        value.is_ok_and(|value| record::is_of_later_release(&self.key, &value))
+    }
+
+    fn value(&self) -> Result<Vec<u8>, DecodeError> {
+        STANDARD.decode(self.value.as_deref().unwrap_or_default())
+    }
 }
 
 /// Percent-encodes a value for use in a query string.
