Take no reset during an upload for the end of a response

Callers got a 200 with the start of the body, framed as whole, when a target answered an upload early without a length and its connection was then reset.

Cause: a reset is reported once per socket. The write of the upload took the error, and the read that followed saw a plain end, which completes a body without a length.

A failed write is remembered now, and a response that ends with its connection is lost after one. Responses with a length or chunks show by themselves whether they are whole, so early ones are passed on as before.

The new test failed before: Ok(Response { status: 200, headers: {}, body: b"part" }).

--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -168,6 +168,12 @@
         // After an early response, the unsent rest of the body would be read as the next
         // request.
         self.reusable &= sender.is_done();
+        if let (Ok(resp), Some(err)) = (&resp, write_error)
+            && response_framing(req, resp.status, &resp.headers) == Ok(Framing::UntilClose)
+        {
+            // The write took the error of the reset; the end that was read is not a close.
+            return Err(ExchangeError::Lost(err));
+        }
         resp
     }
 }
@@ -290,11 +296,7 @@
         if (100..200).contains(&status) {
             continue;
         }
-        let framing = match declared_framing(&headers).map_err(ExchangeError::Malformed)? {
-            _ if req.is_head || status == 204 || status == 304 => Framing::None,
-            Some(framing) => framing,
-            None => Framing::UntilClose,
-        };
+        let framing = response_framing(req, status, &headers).map_err(ExchangeError::Malformed)?;
         let body = read_body(rx, buf, framing, req.max_response_bytes, req.memory).await?;
         let keep_alive =
             is_http11 && framing != Framing::UntilClose && !connection_lists(&headers, "close");
@@ -310,6 +312,19 @@
     Err(ExchangeError::Malformed("too many informational responses"))
 }
 
+/// Returns the framing of the response to `req`.
+fn response_framing(
+    req: &OutgoingRequest<'_>,
+    status: u16,
+    headers: &HeaderMap,
+) -> Result<Framing, &'static str> {
+    Ok(match declared_framing(headers)? {
+        _ if req.is_head || status == 204 || status == 304 => Framing::None,
+        Some(framing) => framing,
+        None => Framing::UntilClose,
+    })
+}
+
 async fn read_head(
     rx: &mut ReadHalf<'_>,
     buf: &mut BytesMut,
--- a/src/http1/tests.rs
+++ b/src/http1/tests.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -62,6 +63,13 @@
     (result, conn.is_reusable())
 }
 
+/// Ends a connection with a reset.
+fn reset(stream: TcpStream) {
+    let socket = SockRef::from(&stream);
+    socket.set_linger(Some(Duration::ZERO)).unwrap();
+    drop(stream);
+}
+
 fn memory() -> Arc<BodyMemory> {
     Arc::new(BodyMemory::new(1 << 20, 4 << 20))
 }
--- a/src/http1/tests/client.rs
+++ b/src/http1/tests/client.rs
@@ -100,6 +100,34 @@
     drop(peer.await.unwrap());
 }
 
+/// The write that finds a reset takes the socket's error; a read then sees a plain end.
+#[tokio::test]
+async fn a_response_without_length_that_is_reset_during_the_upload_is_not_complete() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\n\r\npart")
+            .await
+            .unwrap();
+        reset(stream);
+    });
+    let mut conn = Conn::connect(address, TIMEOUT).await.unwrap();
+    // The peer does not read it, and it is larger than the socket buffers of both ends.
+    let body = vec![b'x'; 64 << 20];
+    let outgoing = OutgoingRequest {
+        bytes: &body,
+        body: None,
+        is_head: false,
+        max_response_bytes: 1024,
+        memory: None,
+    };
+    let exchange = conn.exchange(&outgoing, |_| true);
+    let result = tokio::time::timeout(TIMEOUT, exchange).await.unwrap();
+    assert!(matches!(result, Err(ExchangeError::Lost(_))), "{result:?}");
+}
+
 /// Sends a body in two halves with a pause between them, in both transfer codings.
 #[tokio::test]
 async fn a_body_is_sent_as_it_arrives() {
