Ask the system whether a kept connection is silent

A connection was reused though bytes, or its end, had arrived while it was idle: an extra refusal without a request id is then read as the response to the next request, and a closed connection loses it.

Cause: whether bytes are there was asked of the runtime, which knows only what its last poll for events returned, so a busy thread did not see them. The question also took a byte out, so that asking again, as after a health check, called the connection reusable.

The system is asked now before a connection is reused, and what it has stays there. Returning a connection and closing expired ones still need no system call.

The new test failed before ("the byte is not seen" after 20 s), and with a peek that takes the byte ("the byte is still there").

--- a/src/entry/request/pool.rs
+++ b/src/entry/request/pool.rs
@@ -76,7 +76,7 @@
         conn: TargetConn,
         stated_idle: Option<Duration>,
     ) {
-        if !conn.conn.is_reusable() {
+        if !conn.conn.seems_reusable() {
             return;
         }
         let max_idle = stated_idle.map_or(DEFAULT_IDLE, |stated| stated.mul_f64(IDLE_FRACTION));
@@ -94,7 +94,7 @@
     /// Closes connections that were idle for too long.
     pub(crate) fn expire(&self, now: Time) {
         self.lock().retain(|_, connections| {
-            connections.retain(|entry| now < entry.until && entry.conn.conn.is_reusable());
+            connections.retain(|entry| now < entry.until && entry.conn.conn.seems_reusable());
             !connections.is_empty()
         });
     }
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -1,13 +1,15 @@
 //! Client side of one connection: sends a request, whose body may still be arriving, and
 //! reads the whole response.
 
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use http::HeaderMap;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 
@@ -125,11 +127,24 @@
     /// Returns whether another request may be sent: the connection is open, and no bytes
     /// arrived after the last response.
     pub(crate) fn is_reusable(&self) -> bool {
-        let mut byte = [0_u8; 1];
+        self.is_idle(|| self.peek())
+    }
+
+    /// Like [`Self::is_reusable`], as far as the runtime's last poll for events tells; needs
+    /// no system call on a silent connection.
+    pub(crate) fn seems_reusable(&self) -> bool {
+        self.is_idle(|| self.stream.try_io(Interest::READABLE, || self.peek()))
+    }
+
+    fn is_idle(&self, peek: impl FnOnce() -> std::io::Result<usize>) -> bool {
         self.reusable
             && self.buf.is_empty()
-            && matches!(self.stream.try_read(&mut byte),
-                Err(err) if err.kind() == std::io::ErrorKind::WouldBlock)
+            && matches!(peek(), Err(err) if err.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Asks the system for received bytes, which stay there.
+    fn peek(&self) -> std::io::Result<usize> {
+        SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()])
     }
 
     /// Sends a request and reads the first response that `is_match` accepts. Others are
--- a/src/http1/tests/client.rs
+++ b/src/http1/tests/client.rs
@@ -1,5 +1,7 @@
 //! The client side of connections.
 
+use std::time::Instant;
+
 use super::*;
 
 /// For each response of a peer: the status and body or the kind of error, and whether
@@ -71,6 +73,29 @@
     tokio::time::timeout(TIMEOUT, unusable).await.unwrap();
 }
 
+/// The thread does not poll for events meanwhile, as if it were busy.
+#[tokio::test]
+async fn a_busy_thread_does_not_reuse_a_connection_with_unsolicited_bytes() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let conn = Conn::connect(address, TIMEOUT).await.unwrap();
+    let (mut stream, _) = listener.accept().unwrap();
+    assert!(conn.is_reusable());
+    std::io::Write::write_all(&mut stream, b"H").unwrap();
+    let deadline = Instant::now() + TIMEOUT;
+    while conn.is_reusable() {
+        assert!(Instant::now() < deadline, "the byte is not seen");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    assert!(!conn.is_reusable(), "the byte is still there");
+    let seen = async {
+        while conn.seems_reusable() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::time::timeout(TIMEOUT, seen).await.unwrap();
+}
+
 #[tokio::test]
 async fn a_connection_is_not_reusable_after_a_response_to_a_partly_sent_request() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
