Skip no response of unknown length beside a HEAD request

The response to an earlier request that came again beside a HEAD request was skipped as if it had no body, so its body was read as the response in hand. A body that looks like a refusal then counted as "not run". A copy of a HEAD request's own response hid the start of the next response in the same way.

A connection remembers that a HEAD request was sent over it. From then on a response to another request ends the exchange: the request may have run.

The new test failed before: a 503 out of the copy's body for the HEAD request; with the rule for HEAD requests only, also for the GET after one.

--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -99,6 +99,8 @@
     /// Bytes received after the last response.
     buf: BytesMut,
     reusable: bool,
+    /// Whether a HEAD request was sent over it.
+    had_head: bool,
 }
 
 impl Conn {
@@ -121,6 +123,7 @@
             stream,
             buf: BytesMut::new(),
             reusable: true,
+            had_head: false,
         })
     }
 
@@ -149,7 +152,8 @@
 
     /// Sends a request and reads the first response that `is_match` accepts. Others are
     /// late responses to earlier requests: they are dropped, and the connection is not
-    /// reused after them.
+    /// reused after them. Where they may be to a request with another method than this
+    /// one, their end is unknown, and the response is lost.
     ///
     /// # Errors
     /// See [`ExchangeError`]; the connection must then be dropped.
@@ -161,8 +165,11 @@
         let (mut rx, mut tx) = self.stream.split();
         let mut sender = Sender::new(req);
         let mut write_error = None;
+        self.had_head |= req.is_head;
+        let may_skip = !self.had_head;
         let resp = {
-            let read = read_matching(&mut rx, &mut self.buf, req, &is_match, &mut self.reusable);
+            let (buf, reusable) = (&mut self.buf, &mut self.reusable);
+            let read = read_matching(&mut rx, buf, req, &is_match, may_skip, reusable);
             tokio::pin!(read);
             loop {
                 let writing = !sender.is_done() && write_error.is_none();
@@ -271,13 +278,14 @@
     }
 }
 
-/// Reads responses until one matches, and clears `reusable` if the connection must not
-/// be used again.
+/// Reads responses until one matches, with `may_skip` past others, and clears `reusable` if
+/// the connection must not be used again.
 async fn read_matching(
     rx: &mut ReadHalf<'_>,
     buf: &mut BytesMut,
     req: &OutgoingRequest<'_>,
     is_match: impl Fn(&Response) -> bool,
+    may_skip: bool,
     reusable: &mut bool,
 ) -> Result<Response, ExchangeError> {
     for _ in 0..=MAX_SKIPPED_RESPONSES {
@@ -288,6 +296,11 @@
             return Ok(resp);
         }
         *reusable = false;
+        if !may_skip {
+            return Err(ExchangeError::Lost(
+                "the response to another request came beside a HEAD request".into(),
+            ));
+        }
         if !keep_alive {
             return Err(ExchangeError::Lost(
                 "connection closed after the response to another request".into(),
--- a/src/http1/tests/client.rs
+++ b/src/http1/tests/client.rs
@@ -153,6 +153,45 @@
     assert!(matches!(result, Err(ExchangeError::Lost(_))), "{result:?}");
 }
 
+/// The copy's length is that of a response to the other method.
+#[tokio::test]
+async fn a_late_copy_beside_a_head_request_does_not_hide_where_a_response_begins() {
+    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nid: old\r\ncontent-length: 40\r\n\r\n\
+        HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n";
+    for methods in [&[true][..], &[true, false]] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let count = methods.len();
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            for number in 1..=count {
+                read_until(&mut stream, "\r\n\r\n").await;
+                let own = b"HTTP/1.1 204 No Content\r\nid: own\r\n\r\n";
+                let response = if number == count { ANSWER } else { own };
+                stream.write_all(response).await.unwrap();
+            }
+        });
+        let mut conn = Conn::connect(address, TIMEOUT).await.unwrap();
+        let mut last = None;
+        for &is_head in methods {
+            let outgoing = OutgoingRequest {
+                bytes: GET,
+                body: None,
+                is_head,
+                max_response_bytes: 1024,
+                memory: None,
+            };
+            let is_match = |resp: &Response| resp.headers.get("id").is_none_or(|id| id == "own");
+            let exchange = conn.exchange(&outgoing, is_match);
+            last = Some(tokio::time::timeout(TIMEOUT, exchange).await.unwrap());
+        }
+        let Some(Err(ExchangeError::Lost(cause))) = last else {
+            panic!("{methods:?}: {last:?}");
+        };
+        assert!(cause.contains("HEAD"), "{methods:?}: {cause}");
+    }
+}
+
 /// Sends a body in two halves with a pause between them, in both transfer codings.
 #[tokio::test]
 async fn a_body_is_sent_as_it_arrives() {
