Cut responses behind every byte, and copy refusals at two moments, in tests

The existing test of late copies did not fail without its rule for refusals: a health check before the request took the copy. It sends no checks for those cases now, and fails with 503 without the rule.

Both pass on the code as it is.

--- a/src/entry/request/attempt/tests.rs
+++ b/src/entry/request/attempt/tests.rs
@@ -20,23 +20,39 @@
     Check,
     /// One that says that the request was not run, without a request id.
     Shed,
+    /// The same with the id.
+    ShedWithId,
     /// That to a request.
     Answer,
 }
 
+/// When the copy is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Moment {
+    /// Right behind the response.
+    Behind,
+    /// When the next request arrives.
+    Later,
+}
+
 /// Starts a target that sheds requests to `/shed` and counts the others.
-async fn start(copied: Copied, runs: Arc<AtomicUsize>) -> Arc<Shared> {
+async fn start(copied: Copied, moment: Moment, runs: Arc<AtomicUsize>) -> Arc<Shared> {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve(stream, copied, runs.clone()));
+            tokio::spawn(serve(stream, copied, moment, runs.clone()));
         }
     });
-    instance_with(&[("t", address)])
+    let shared = instance_with(&[("t", address)]);
+    if copied != Copied::Check {
+        // A check would get the copy in place of the request.
+        shared.state().tuning.precheck.max_checks = 0;
+    }
+    shared
 }
 
-async fn serve(mut stream: TcpStream, copied: Copied, runs: Arc<AtomicUsize>) {
+async fn serve(mut stream: TcpStream, copied: Copied, moment: Moment, runs: Arc<AtomicUsize>) {
     let mut copy = String::new();
     while let Some(head) = read_head(&mut stream).await {
         let path = head.split(' ').nth(1).unwrap();
@@ -45,6 +61,13 @@
             .find_map(|line| line.strip_prefix("x-request-id: "));
         let (kind, response) = match (id, path) {
             (None, _) => (Copied::Check, HEALTHY.into()),
+            (Some(id), "/shed") if copied == Copied::ShedWithId => (
+                copied,
+                format!(
+                    "HTTP/1.1 503 Full\r\nx-request-id: {id}\r\nx-not-executed: 1\r\n\
+                     content-length: 0\r\n\r\n"
+                ),
+            ),
             (_, "/shed") => (
                 Copied::Shed,
                 "HTTP/1.1 503 Full\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n".into(),
@@ -61,13 +84,16 @@
         if kind == Copied::Answer {
             runs.fetch_add(1, Ordering::Relaxed);
         }
-        let sent = std::mem::take(&mut copy) + &response;
+        let mut sent = std::mem::take(&mut copy) + &response;
+        if kind == copied {
+            match moment {
+                Moment::Behind => sent += &response,
+                Moment::Later => copy = response,
+            }
+        }
         if stream.write_all(sent.as_bytes()).await.is_err() {
             return;
         }
-        if kind == copied {
-            copy = response;
-        }
     }
 }
 
@@ -83,21 +109,31 @@
 /// Sends requests one after the other, so that they share connections.
 #[tokio::test]
 async fn no_request_gets_a_late_copy_of_another_response() {
-    for copied in [Copied::Check, Copied::Shed, Copied::Answer] {
+    const KINDS: [Copied; 4] = [
+        Copied::Check,
+        Copied::Shed,
+        Copied::ShedWithId,
+        Copied::Answer,
+    ];
+    const MOMENTS: [Moment; 2] = [Moment::Behind, Moment::Later];
+    for (copied, moment) in KINDS
+        .into_iter()
+        .flat_map(|kind| MOMENTS.map(|at| (kind, at)))
+    {
         let runs = Arc::new(AtomicUsize::new(0));
-        let shared = start(copied, runs.clone()).await;
+        let shared = start(copied, moment, runs.clone()).await;
         for number in 0..6 {
             let shed = forward::serve(shared.clone(), request("/shed", "shed")).await;
-            assert_eq!(shed.status, 503, "{copied:?}");
+            assert_eq!(shed.status, 503, "{copied:?} {moment:?}");
             let id = format!("r{number}");
             let reply = forward::serve(shared.clone(), request("/x", &id)).await;
             assert_eq!(
                 (reply.status, &*reply.body),
                 (200, id.as_bytes()),
-                "{copied:?}"
+                "{copied:?} {moment:?}"
             );
         }
-        assert_eq!(runs.load(Ordering::Relaxed), 6, "{copied:?}");
+        assert_eq!(runs.load(Ordering::Relaxed), 6, "{copied:?} {moment:?}");
     }
 }
 
--- a/src/http1/tests/client.rs
+++ b/src/http1/tests/client.rs
@@ -125,6 +125,51 @@
     drop(peer.await.unwrap());
 }
 
+/// Cuts responses behind each of their bytes, by a close and by a reset.
+#[tokio::test]
+async fn a_response_cut_anywhere_is_not_complete() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nid: own\r\nx-server-signature: 3e1b.07\r\n";
+    const BODIES: [&str; 4] = [
+        "content-length: 12\r\n\r\ntwelve bytes",
+        "transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nchecksum: 1\r\n\r\n",
+        "\r\nuntil the close",
+        // Bare line feeds.
+        "content-length: 2\n\nok",
+    ];
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let request = OutgoingRequest {
+        bytes: GET,
+        body: None,
+        is_head: false,
+        max_response_bytes: 1024,
+        memory: None,
+    };
+    for response in BODIES.map(|body| HEAD.to_owned() + body) {
+        let until_close = response.find("\r\n\r\nuntil").map(|end| end + 4);
+        for (length, by_reset) in (0..=response.len()).flat_map(|n| [(n, false), (n, true)]) {
+            let mut conn = Conn::connect(address, TIMEOUT).await.unwrap();
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let peer = async {
+                read_until(&mut stream, "\r\n\r\n").await;
+                let cut = &response.as_bytes()[..length];
+                stream.write_all(cut).await.unwrap();
+                if by_reset {
+                    reset(stream);
+                }
+            };
+            let exchange = tokio::time::timeout(TIMEOUT, conn.exchange(&request, |_| true));
+            let (result, ()) = tokio::join!(exchange, peer);
+            let is_whole = match until_close {
+                Some(head) => length >= head && !by_reset,
+                None => length == response.len(),
+            };
+            let result = result.unwrap();
+            assert_eq!(result.is_ok(), is_whole, "{length} {by_reset}: {result:?}");
+        }
+    }
+}
+
 /// The write that finds a reset takes the socket's error; a read then sees a plain end.
 #[tokio::test]
 async fn a_response_without_length_that_is_reset_during_the_upload_is_not_complete() {
