--- a/standin/src/faults.rs
+++ b/standin/src/faults.rs
@@ -132,6 +132,8 @@
     ResetBeforeFirstByte,
     /// Runs the call and resets the connection after the first bytes.
     ResetAfterFirstByte,
+    /// Runs the call, sends a part of the response's head and closes.
+    TruncatedHead,
     /// Runs the call, sends half of the declared length and closes.
     TruncatedBody,
     /// Runs the call, sends half of a chunked body and closes.
--- a/standin/src/socket.rs
+++ b/standin/src/socket.rs
@@ -12,6 +12,9 @@
 /// A complete response that belongs to no request.
 const STRAY_RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstray";
 
+/// Bytes of a response that is cut in its head: the status line and a part of a header.
+const CUT_HEAD_BYTES: usize = 24;
+
 /// Faults of one connection.
 #[derive(Debug, Default)]
 pub(crate) struct SocketFaults {
@@ -23,6 +26,8 @@
     pub(crate) trailing: AtomicBool,
     /// A stray response precedes the next response.
     pub(crate) leading: AtomicBool,
+    /// The connection ends in the head of the next response.
+    pub(crate) cut_head: AtomicBool,
 }
 
 /// The stream of one connection, which applies the faults to its bytes.
@@ -31,6 +36,7 @@
     faults: Arc<SocketFaults>,
     wrote: bool,
     responded: bool,
+    is_cut: bool,
     stray: &'static [u8],
 }
 
@@ -41,6 +47,7 @@
             faults,
             wrote: false,
             responded: false,
+            is_cut: false,
             stray: &[],
         }
     }
@@ -89,6 +96,15 @@
         if this.faults.silent.load(Ordering::Relaxed) {
             return Poll::Ready(Ok(buf.len()));
         }
+        if this.is_cut {
+            return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+        }
+        if this.faults.cut_head.load(Ordering::Relaxed) {
+            let head = &buf[..buf.len().min(CUT_HEAD_BYTES)];
+            let written = ready!(Pin::new(&mut this.stream).poll_write(cx, head))?;
+            this.is_cut = true;
+            return Poll::Ready(Ok(written));
+        }
         let leading = this.faults.leading.swap(false, Ordering::Relaxed);
         // A late response to an earlier call needs an earlier call on the connection.
         if leading && this.responded {
--- a/standin/src/target/responses.rs
+++ b/standin/src/target/responses.rs
@@ -209,6 +209,7 @@
         ResponseFault::Late(late) => tokio::time::sleep(late).await,
         ResponseFault::TrailingBytes => socket.trailing.store(true, Ordering::Relaxed),
         ResponseFault::LeadingResponse => socket.leading.store(true, Ordering::Relaxed),
+        ResponseFault::TruncatedHead => socket.cut_head.store(true, Ordering::Relaxed),
         ResponseFault::ResetAfterFirstByte => socket.reset.store(true, Ordering::Relaxed),
         _ => {}
     }
--- a/tests/outcome.rs
+++ b/tests/outcome.rs
@@ -120,6 +120,12 @@
             Some("unknown"),
             1,
         ),
+        case(
+            ResponseFault::TruncatedHead,
+            Some("target_broken"),
+            Some("unknown"),
+            1,
+        ),
         case(
             ResponseFault::Stall,
             Some("target_timeout"),
