--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -1,13 +1,15 @@
 //! Client side of one connection: sends a request, whose body may still be arriving, and
 //! reads the whole response.
 
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use http::HeaderMap;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 
@@ -101,6 +103,8 @@
     /// Bytes received after the last response.
     buf: BytesMut,
     reusable: bool,
+    /// Whether a HEAD request was sent over it.
+    had_head: bool,
 }
 
 impl Conn {
@@ -123,22 +127,37 @@
             stream,
             buf: BytesMut::new(),
             reusable: true,
+            had_head: false,
         })
     }
 
     /// Returns whether another request may be sent: the connection is open, and no bytes
     /// arrived after the last response.
     pub(crate) fn is_reusable(&self) -> bool {
-        let mut byte = [0_u8; 1];
+        self.is_idle(|| self.peek())
+    }
+
+    /// Like [`Self::is_reusable`], as far as the runtime's last poll for events tells; needs
+    /// no system call on a silent connection.
+    pub(crate) fn seems_reusable(&self) -> bool {
+        self.is_idle(|| self.stream.try_io(Interest::READABLE, || self.peek()))
+    }
+
+    fn is_idle(&self, peek: impl FnOnce() -> std::io::Result<usize>) -> bool {
         self.reusable
             && self.buf.is_empty()
-            && matches!(self.stream.try_read(&mut byte),
-                Err(err) if err.kind() == std::io::ErrorKind::WouldBlock)
+            && matches!(peek(), Err(err) if err.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Asks the system for received bytes, which stay there.
+    fn peek(&self) -> std::io::Result<usize> {
+        SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()])
     }
 
     /// Sends a request and reads the first response that `is_match` accepts. Others are
     /// late responses to earlier requests: they are dropped, and the connection is not
-    /// reused after them.
+    /// reused after them. Where they may be to a request with another method than this
+    /// one, their end is unknown, and the response is lost.
     ///
     /// # Errors
     /// See [`ExchangeError`]; the connection must then be dropped.
@@ -150,8 +169,11 @@
         let (mut rx, mut tx) = self.stream.split();
         let mut sender = Sender::new(req);
         let mut write_error = None;
+        self.had_head |= req.is_head;
+        let may_skip = !self.had_head;
         let resp = {
-            let read = read_matching(&mut rx, &mut self.buf, req, &is_match, &mut self.reusable);
+            let (buf, reusable) = (&mut self.buf, &mut self.reusable);
+            let read = read_matching(&mut rx, buf, req, &is_match, may_skip, reusable);
             tokio::pin!(read);
             loop {
                 let writing = !sender.is_done() && write_error.is_none();
@@ -172,6 +194,12 @@
         // After an early response, the unsent rest of the body would be read as the next
         // request.
         self.reusable &= sender.is_done();
+        if let (Ok(resp), Some(err)) = (&resp, write_error)
+            && response_framing(req, resp.status, &resp.headers) == Ok(Framing::UntilClose)
+        {
+            // The write took the error of the reset; the end that was read is not a close.
+            return Err(ExchangeError::Lost(err));
+        }
         resp
     }
 }
@@ -254,13 +282,14 @@
     }
 }
 
-/// Reads responses until one matches, and clears `reusable` if the connection must not
-/// be used again.
+/// Reads responses until one matches, with `may_skip` past others, and clears `reusable` if
+/// the connection must not be used again.
 async fn read_matching(
     rx: &mut ReadHalf<'_>,
     buf: &mut BytesMut,
     req: &OutgoingRequest<'_>,
     is_match: impl Fn(&Response) -> bool,
+    may_skip: bool,
     reusable: &mut bool,
 ) -> Result<Response, ExchangeError> {
     for _ in 0..=MAX_SKIPPED_RESPONSES {
@@ -271,6 +300,11 @@
             return Ok(resp);
         }
         *reusable = false;
+        if !may_skip {
+            return Err(ExchangeError::Lost(
+                "the response to another request came beside a HEAD request".into(),
+            ));
+        }
         if !keep_alive {
             return Err(ExchangeError::Lost(
                 "connection closed after the response to another request".into(),
@@ -294,11 +328,7 @@
         if (100..200).contains(&status) {
             continue;
         }
-        let framing = match declared_framing(&headers).map_err(ExchangeError::Malformed)? {
-            _ if req.is_head || status == 204 || status == 304 => Framing::None,
-            Some(framing) => framing,
-            None => Framing::UntilClose,
-        };
+        let framing = response_framing(req, status, &headers).map_err(ExchangeError::Malformed)?;
         let body = read_body(rx, buf, framing, req.max_response_bytes, req.memory).await?;
         let keep_alive =
             is_http11 && framing != Framing::UntilClose && !connection_lists(&headers, "close");
@@ -314,6 +344,19 @@
     Err(ExchangeError::Malformed("too many informational responses"))
 }
 
+/// Returns the framing of the response to `req`.
+fn response_framing(
+    req: &OutgoingRequest<'_>,
+    status: u16,
+    headers: &HeaderMap,
+) -> Result<Framing, &'static str> {
+    Ok(match declared_framing(headers)? {
+        _ if req.is_head || status == 204 || status == 304 => Framing::None,
+        Some(framing) => framing,
+        None => Framing::UntilClose,
+    })
+}
+
 async fn read_head(
     rx: &mut ReadHalf<'_>,
     buf: &mut BytesMut,
--- a/src/http1/tests/client.rs
+++ b/src/http1/tests/client.rs
@@ -1,5 +1,7 @@
 //! The client side of connections.
 
+use std::time::Instant;
+
 use super::*;
 
 /// For each response of a peer: the status and body or the kind of error, and whether
@@ -72,6 +74,29 @@
     tokio::time::timeout(TIMEOUT, unusable).await.unwrap();
 }
 
+/// The thread does not poll for events meanwhile, as if it were busy.
+#[tokio::test]
+async fn a_busy_thread_does_not_reuse_a_connection_with_unsolicited_bytes() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let conn = Conn::connect(address, TIMEOUT).await.unwrap();
+    let (mut stream, _) = listener.accept().unwrap();
+    assert!(conn.is_reusable());
+    std::io::Write::write_all(&mut stream, b"H").unwrap();
+    let deadline = Instant::now() + TIMEOUT;
+    while conn.is_reusable() {
+        assert!(Instant::now() < deadline, "the byte is not seen");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    assert!(!conn.is_reusable(), "the byte is still there");
+    let seen = async {
+        while conn.seems_reusable() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::time::timeout(TIMEOUT, seen).await.unwrap();
+}
+
 #[tokio::test]
 async fn a_connection_is_not_reusable_after_a_response_to_a_partly_sent_request() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -101,6 +126,118 @@
     drop(peer.await.unwrap());
 }
 
+/// Cuts responses behind each of their bytes, by a close and by a reset.
+#[tokio::test]
+async fn a_response_cut_anywhere_is_not_complete() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nid: own\r\nx-server-signature: 3e1b.07\r\n";
+    const BODIES: [&str; 4] = [
+        "content-length: 12\r\n\r\ntwelve bytes",
+        "transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nchecksum: 1\r\n\r\n",
+        "\r\nuntil the close",
+        // Bare line feeds.
+        "content-length: 2\n\nok",
+    ];
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let request = OutgoingRequest {
+        bytes: GET,
+        body: None,
+        is_head: false,
+        max_response_bytes: 1024,
+        memory: None,
+    };
+    for response in BODIES.map(|body| HEAD.to_owned() + body) {
+        let until_close = response.find("\r\n\r\nuntil").map(|end| end + 4);
+        for (length, by_reset) in (0..=response.len()).flat_map(|n| [(n, false), (n, true)]) {
+            let mut conn = Conn::connect(address, TIMEOUT).await.unwrap();
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let peer = async {
+                read_until(&mut stream, "\r\n\r\n").await;
+                let cut = &response.as_bytes()[..length];
+                stream.write_all(cut).await.unwrap();
+                if by_reset {
+                    reset(stream);
+                }
+            };
+            let exchange = tokio::time::timeout(TIMEOUT, conn.exchange(&request, |_| true));
+            let (result, ()) = tokio::join!(exchange, peer);
+            let is_whole = match until_close {
+                Some(head) => length >= head && !by_reset,
+                None => length == response.len(),
+            };
+            let result = result.unwrap();
+            assert_eq!(result.is_ok(), is_whole, "{length} {by_reset}: {result:?}");
+        }
+    }
+}
+
+/// The write that finds a reset takes the socket's error; a read then sees a plain end.
+#[tokio::test]
+async fn a_response_without_length_that_is_reset_during_the_upload_is_not_complete() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\n\r\npart")
+            .await
+            .unwrap();
+        reset(stream);
+    });
+    let mut conn = Conn::connect(address, TIMEOUT).await.unwrap();
+    // The peer does not read it, and it is larger than the socket buffers of both ends.
+    let body = vec![b'x'; 64 << 20];
+    let outgoing = OutgoingRequest {
+        bytes: &body,
+        body: None,
+        is_head: false,
+        max_response_bytes: 1024,
+        memory: None,
+    };
+    let exchange = conn.exchange(&outgoing, |_| true);
+    let result = tokio::time::timeout(TIMEOUT, exchange).await.unwrap();
+    assert!(matches!(result, Err(ExchangeError::Lost(_))), "{result:?}");
+}
+
+/// The copy's length is that of a response to the other method.
+#[tokio::test]
+async fn a_late_copy_beside_a_head_request_does_not_hide_where_a_response_begins() {
+    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nid: old\r\ncontent-length: 40\r\n\r\n\
+        HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n";
+    for methods in [&[true][..], &[true, false]] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let count = methods.len();
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            for number in 1..=count {
+                read_until(&mut stream, "\r\n\r\n").await;
+                let own = b"HTTP/1.1 204 No Content\r\nid: own\r\n\r\n";
+                let response = if number == count { ANSWER } else { own };
+                stream.write_all(response).await.unwrap();
+            }
+        });
+        let mut conn = Conn::connect(address, TIMEOUT).await.unwrap();
+        let mut last = None;
+        for &is_head in methods {
+            let outgoing = OutgoingRequest {
+                bytes: GET,
+                body: None,
+                is_head,
+                max_response_bytes: 1024,
+                memory: None,
+            };
+            let is_match = |resp: &Response| resp.headers.get("id").is_none_or(|id| id == "own");
+            let exchange = conn.exchange(&outgoing, is_match);
+            last = Some(tokio::time::timeout(TIMEOUT, exchange).await.unwrap());
+        }
+        let Some(Err(ExchangeError::Lost(cause))) = last else {
+            panic!("{methods:?}: {last:?}");
+        };
+        assert!(cause.contains("HEAD"), "{methods:?}: {cause}");
+    }
+}
+
 /// Sends a body in two halves with a pause between them, in both transfer codings.
 #[tokio::test]
 async fn a_body_is_sent_as_it_arrives() {
