Add a failing test of requests that an outdated configuration denies

The test fails: of two requests before and after a peer has version 2, to a host without a route and without a key, the last two get 404 and 401 in place of 503 with Retry-After.

--- a/src/entry/request/forward/tests.rs
+++ b/src/entry/request/forward/tests.rs
@@ -1,7 +1,10 @@
 use standin::prepared::target::{Behaviour, TargetStandin};
 
 use super::*;
+use crate::account::{AccountTable, KeyDigest};
 use crate::dispatch::quarantine::CrashId;
+use crate::entry::fleet::members::InstanceStatus;
+use crate::entry::fleet::message::RelayedStatus;
 use crate::entry::target::load::Load;
 use crate::entry::testing::{instance, request};
 
@@ -163,3 +166,41 @@
     assert_eq!(reply.status, 500);
     assert_eq!(arrivals(&targets, "retried"), 1);
 }
+
+/// A peer has a newer configuration, which this instance has not fetched yet.
+#[tokio::test]
+async fn an_instance_with_an_outdated_configuration_denies_no_request() {
+    let shared = instance(&[]);
+    let no_key = request(PATH, "no-key");
+    let mut no_route = request(PATH, "no-route");
+    let other_host = http::HeaderValue::from_static("new.example");
+    no_route.headers.insert(http::header::HOST, other_host);
+    let account = Account {
+        name: "acme".into(),
+        keys: vec![KeyDigest::of(b"k1")],
+        priority: None,
+        limit: None,
+    };
+    shared.state().accounts = Some(AccountTable::new(&[account]));
+    let mut seen = Vec::new();
+    for peer_version in [1, 2] {
+        let status = InstanceStatus {
+            version: peer_version,
+            ..InstanceStatus::default()
+        };
+        let peer = RelayedStatus {
+            address: ([127, 0, 0, 2], 7000).into(),
+            zone: "a".into(),
+            status,
+            age_ms: 0,
+        };
+        let now = shared.now();
+        shared.state().receive_relayed(now, &[peer]);
+        for req in [&no_route, &no_key] {
+            let reply = serve(shared.clone(), req.clone()).await;
+            seen.push((reply.status, reply.headers.contains_key("retry-after")));
+        }
+    }
+    let current = [(404, false), (401, false)];
+    assert_eq!(seen, [current, [(503, true); 2]].concat());
+}
