Take unsigned 3xx and 4xx responses for lost ones

Callers got a target's 3xx or 4xx that had the id of the request and no signature.

Cause: only successes needed a signature; every other status below 500 ended the request.

Such a response now counts as none, like an unsigned success: the request may have run, so a safe one is sent to another target within the retry budget, and any other ends with 502, which promises nothing. What a target says that it did not run stays as it was, signed or not, and so do its signed errors.

The test failed before with 301 in place of 502.

--- a/src/entry/request/attempt.rs
+++ b/src/entry/request/attempt.rs
@@ -432,7 +432,9 @@
     let is_encoded = response
         .headers
         .contains_key(http::header::CONTENT_ENCODING);
-    if !matches_request || is_encoded || !meta.proven && (200..300).contains(&response.status) {
+    // A middlebox or a faulty server may have made it while the request runs.
+    let is_unproven = !meta.proven && (200..500).contains(&response.status);
+    if !matches_request || is_encoded || is_unproven {
         return (
             AttemptOutcome::Lost,
             None,
--- a/src/entry/request/attempt/tests.rs
+++ b/src/entry/request/attempt/tests.rs
@@ -1,4 +1,5 @@
-//! Targets that send a second copy of a response when the next request arrives.
+//! Targets that send a second copy of a response when the next request arrives, or
+//! responses without a signature.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -36,18 +37,11 @@
 async fn serve(mut stream: TcpStream, copied: Copied, runs: Arc<AtomicUsize>) {
     let mut copy = String::new();
     loop {
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            match stream.read_u8().await {
-                Ok(byte) => head.push(byte),
-                Err(_) => return,
-            }
-        }
-        let head = String::from_utf8(head).unwrap();
+        let Some(head) = read_head(&mut stream).await else {
+            return;
+        };
         let path = head.split(' ').nth(1).unwrap();
-        let id = head
-            .lines()
-            .find_map(|line| line.strip_prefix("x-request-id: "));
+        let id = request_id(&head);
         let (kind, response) = match (id, path) {
             (None, _) => (
                 Copied::Check,
@@ -79,6 +73,19 @@
     }
 }
 
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    String::from_utf8(head).ok()
+}
+
+fn request_id(head: &str) -> Option<&str> {
+    let mut lines = head.lines();
+    lines.find_map(|line| line.strip_prefix("x-request-id: "))
+}
+
 /// Sends requests one after the other, so that they share connections.
 #[tokio::test]
 async fn no_request_gets_a_late_copy_of_another_response() {
@@ -99,3 +106,41 @@
         assert_eq!(runs.load(Ordering::Relaxed), 6, "{copied:?}");
     }
 }
+
+/// Starts a target whose responses have the status and the id of their requests, but no
+/// signature; it doesn't run requests without an id.
+async fn start_unsigned(status: u16) -> Arc<Shared> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                while let Some(head) = read_head(&mut stream).await {
+                    let (status, headers) = match request_id(&head) {
+                        Some(id) => (status, format!("x-request-id: {id}")),
+                        None if head.starts_with("GET /health ") => {
+                            (200, "x-instance-id: t".to_owned())
+                        }
+                        None => (400, "x-not-executed: 1".to_owned()),
+                    };
+                    let response =
+                        format!("HTTP/1.1 {status} X\r\n{headers}\r\ncontent-length: 0\r\n\r\n");
+                    if stream.write_all(response.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    instance_with(&[("t", address)])
+}
+
+/// Anything between instance and target may have sent it, while the target runs the request.
+#[tokio::test]
+async fn an_unsigned_response_is_no_reason_to_deny_a_request() {
+    for status in [301, 400, 404] {
+        let shared = start_unsigned(status).await;
+        let reply = forward::serve(shared, request("/x", "id")).await;
+        assert_eq!(reply.status, 502, "status {status} of the target");
+    }
+}
--- a/src/entry/request/retry.rs
+++ b/src/entry/request/retry.rs
@@ -19,8 +19,7 @@
     Blocked,
     /// The target states that it did not run the request.
     NotRun,
-    /// A complete response that reports success, which must be signed, or an error of the
-    /// request itself.
+    /// A complete, signed response that reports success or an error of the request itself.
     Answered,
     /// The target failed to serve the request, which may have run.
     TargetFailed,
