Show what becomes of a request whose id its caller names as hop-by-hop

A client that lists x-request-id in Connection has the header removed (RFC 9110, section 7.6.1), and targets don't run a request without an id: their 400 says so. No proper client lists a header that is meant for the target.

The caller gets 503, not run, and no 4xx; nothing changes. The test passes on the code as it was, and fails if a target's statement that it did not run the request is ignored.

--- a/src/entry/request/attempt/tests.rs
+++ b/src/entry/request/attempt/tests.rs
@@ -144,3 +144,13 @@
         assert_eq!(reply.status, 502, "status {status} of the target");
     }
 }
+
+/// No proper client names the header of its id as one of the connection.
+#[tokio::test]
+async fn a_request_whose_id_is_dropped_as_hop_by_hop_is_refused_and_not_denied() {
+    let shared = start_unsigned(200).await;
+    let mut req = request("/x", "id");
+    let named = http::HeaderValue::from_static("x-request-id");
+    req.headers.insert(http::header::CONNECTION, named);
+    assert_eq!(forward::serve(shared, req).await.status, 503);
+}
