Judge a request by the limits in force when it arrives

Cause: the limits were read before the wait for the next request of a connection. After a change, or after the first configuration, the next request on each idle connection was judged by the earlier ones.

They are read once its first byte is there, and again when the idle timeout has passed, which a later one may extend.

The test failed before with 413 for a body that the limits in force allowed.

--- a/src/http1/server.rs
+++ b/src/http1/server.rs
@@ -89,6 +89,9 @@
     Closing,
 }
 
+/// Returns the limits in force.
+pub(crate) type CurrentLimits = Box<dyn Fn() -> RequestLimits + Send + Sync>;
+
 /// Decides by the target and the headers of a request.
 pub(crate) type MayRunAhead = Box<dyn Fn(&str, &HeaderMap) -> bool + Send + Sync>;
 
@@ -97,8 +100,8 @@
     /// Returns the future that handles a request. The future is dropped when the client
     /// disconnects.
     pub handler: H,
-    /// Returns the limits in force; called before each request.
-    pub limits: Box<dyn Fn() -> RequestLimits + Send + Sync>,
+    /// Returns the limits in force; called when each request arrives.
+    pub limits: CurrentLimits,
     /// Whether a request without a body may be handled before earlier ones of its connection
     /// are answered. If the connection ends, its client sends it again, so it must be
     /// idempotent.
@@ -123,9 +126,8 @@
     let mut pipeline = Pipeline::new();
     loop {
         if pipeline.front_mut().is_none() {
-            let limits = (context.limits)();
-            match conn.next_head(limits, &mut shutdown).await {
-                Next::Request(head, received) => {
+            match conn.next_head(&context.limits, &mut shutdown).await {
+                Next::Request(head, received, limits) => {
                     pipeline.push(start(context, peer, head, received, limits));
                 }
                 Next::Reject(rejection) => {
@@ -217,8 +219,8 @@
 
 /// What to do next on a connection.
 enum Next {
-    /// Handle a request whose first byte was available at this time.
-    Request(Head, Instant),
+    /// Handle a request whose first byte was available at this time, by the limits then.
+    Request(Head, Instant, RequestLimits),
     /// Reject a request and close the connection.
     Reject(Rejection),
     /// End the connection without a response.
@@ -289,12 +291,13 @@
     /// Reads the head of the next request.
     async fn next_head(
         &mut self,
-        limits: RequestLimits,
+        limits: &CurrentLimits,
         shutdown: &mut watch::Receiver<ShutdownPhase>,
     ) -> Next {
-        if self.buf.is_empty() && !self.wait_for_bytes(limits.idle_timeout, shutdown).await {
+        if self.buf.is_empty() && !self.wait_for_bytes(limits, shutdown).await {
             return Next::End;
         }
+        let limits = limits();
         let received = self.first_byte_read();
         let head = match tokio::time::timeout(limits.header_timeout, self.read_head(limits)).await {
             Ok(Ok(head)) => head,
@@ -310,7 +313,7 @@
             }
             _ => {
                 self.requests += 1;
-                Next::Request(head, received)
+                Next::Request(head, received, limits)
             }
         }
     }
@@ -327,9 +330,11 @@
     /// Waits for the first bytes of a request; false if the connection must end.
     async fn wait_for_bytes(
         &mut self,
-        idle: Duration,
+        limits: &CurrentLimits,
         shutdown: &mut watch::Receiver<ShutdownPhase>,
     ) -> bool {
+        let since = Instant::now();
+        let mut idle = limits().idle_timeout;
         let grace = if self.total_read == 0 {
             FIRST_REQUEST_TIME
         } else {
@@ -342,11 +347,19 @@
                 .await;
             tokio::time::sleep(grace).await;
         };
-        tokio::select! {
-            biased;
-            has_read = self.read(READ_BYTES) => has_read,
-            () = closing => false,
-            () = tokio::time::sleep(idle) => false,
+        tokio::pin!(closing);
+        loop {
+            tokio::select! {
+                biased;
+                has_read = self.read(READ_BYTES) => return has_read,
+                () = &mut closing => return false,
+                () = tokio::time::sleep_until((since + idle).into()) => {
+                    let earlier = std::mem::replace(&mut idle, limits().idle_timeout);
+                    if idle <= earlier {
+                        return false;
+                    }
+                }
+            }
         }
     }
 
--- a/src/http1/tests/server.rs
+++ b/src/http1/tests/server.rs
@@ -415,3 +415,55 @@
     let expected = ("malformed head: invalid HTTP version".to_owned(), 1);
     assert_eq!(*reasons.lock().unwrap(), [expected]);
 }
+
+/// The limits change while the connection is idle.
+#[tokio::test]
+async fn a_request_on_an_idle_connection_is_not_judged_by_earlier_limits() {
+    let is_served = Arc::new(AtomicUsize::new(0));
+    let (set_served, asked) = (is_served.clone(), AtomicUsize::new(0));
+    let (_tx, shutdown) = watch::channel(ShutdownPhase::Serving);
+    let context = ServerContext {
+        handler: move |req: Request, _: SocketAddr| {
+            let set_served = set_served.clone();
+            async move {
+                collect(&req.body).await.unwrap();
+                set_served.store(1, Ordering::SeqCst);
+                Reply::empty(200)
+            }
+        },
+        limits: Box::new(move || {
+            let is_idle = is_served.load(Ordering::SeqCst) == 1;
+            match is_idle && asked.fetch_add(1, Ordering::SeqCst) == 0 {
+                // They end the connection before its next request.
+                true => RequestLimits {
+                    idle_timeout: Duration::from_millis(1),
+                    ..limits()
+                },
+                false if is_idle => RequestLimits {
+                    max_body_bytes: limits().max_body_bytes + 1,
+                    ..limits()
+                },
+                false => limits(),
+            }
+        }),
+        rejected: Box::new(|_| {}),
+        may_run_ahead: Box::new(|_, _| false),
+        body_memory: memory(),
+        shutdown,
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (stream, peer) = listener.accept().await.unwrap();
+        serve(stream, peer, &context).await;
+    });
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(GET).await.unwrap();
+    read_until(&mut stream, "\r\n\r\n").await;
+    let length = limits().max_body_bytes + 1;
+    let head = format!("POST / HTTP/1.1\r\ncontent-length: {length}\r\n\r\n");
+    let request = head + &"x".repeat(length);
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let response = read_until(&mut stream, "\r\n\r\n").await;
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+}
