Limit the head of a request by its bytes, not by 96 headers

Cause: the parser got space for 96 headers. It gets more when a request has more: as many as the bytes can hold, and 16,384 at most, which takes a head of 48 KiB and which a header map can hold.

The test failed before with 431 for 167 headers in 1,024 bytes.

--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -8,6 +8,11 @@
 use super::server::Reply;
 use super::{MAX_HEADERS, connection_lists, header_map, write_headers};
 
+/// Maximum number of headers in a request; a header map holds some more.
+const MAX_REQUEST_HEADERS: usize = 16 << 10;
+/// Shortest line with a header, in bytes.
+const MIN_HEADER_BYTES: usize = 3;
+
 /// Head of a request.
 pub(super) struct Head {
     pub(super) method: String,
@@ -64,8 +69,20 @@
     if buf.is_empty() {
         return Ok(None);
     }
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut req = httparse::Request::new(&mut headers);
+    match parse_into(&mut [httparse::EMPTY_HEADER; MAX_HEADERS], buf) {
+        Err(RejectReason::TooManyHeaders) => {
+            let count = (buf.len() / MIN_HEADER_BYTES).min(MAX_REQUEST_HEADERS);
+            parse_into(&mut vec![httparse::EMPTY_HEADER; count], buf)
+        }
+        parsed => parsed,
+    }
+}
+
+fn parse_into<'a>(
+    headers: &mut [httparse::Header<'a>],
+    buf: &'a [u8],
+) -> Result<Option<(Head, usize)>, RejectReason> {
+    let mut req = httparse::Request::new(headers);
     match req.parse(buf) {
         Ok(httparse::Status::Complete(length)) => {
             let headers = header_map(req.headers)
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -16,7 +16,8 @@
 use bytes::BytesMut;
 use http::{HeaderMap, HeaderName, HeaderValue};
 
-/// Maximum number of headers in a message.
+/// Maximum number of headers in a response, and in a request that is parsed without
+/// allocating memory.
 const MAX_HEADERS: usize = 96;
 /// Buffer space for each read from a socket; a typical message fits in one read.
 const READ_BYTES: usize = 4096;
--- a/src/http1/tests/server.rs
+++ b/src/http1/tests/server.rs
@@ -416,6 +416,22 @@
     assert_eq!(*reasons.lock().unwrap(), [expected]);
 }
 
+/// The limit on a head is in bytes, and short headers are proper.
+#[tokio::test]
+async fn a_request_with_many_headers_is_rejected_only_for_its_bytes() {
+    const LINE: &str = "a: b\r\n";
+    let (_tx, shutdown) = watch::channel(ShutdownPhase::Serving);
+    let address = echo_server(shutdown).await;
+    let max = limits().max_header_bytes;
+    let (start, end) = ("GET / HTTP/1.1\r\n", "\r\n");
+    let fitting = (max - start.len() - end.len()) / LINE.len();
+    for (count, status) in [(fitting, "200"), (fitting + 1, "431")] {
+        let head = [start, &LINE.repeat(count), end].concat();
+        let response = send_bytes(address, head.as_bytes()).await;
+        assert_eq!(response.split(' ').nth(1), Some(status), "{count} headers");
+    }
+}
+
 /// The limits change while the connection is idle.
 #[tokio::test]
 async fn a_request_on_an_idle_connection_is_not_judged_by_earlier_limits() {
