Accept request targets in absolute form

A request to http://host/path got 404.

Cause: the whole target was compared with the prefixes of routes, and its host ignored.

The target is split when the head is parsed, so routing, pipelining and the quarantine see one form; targets get the same method, path and query in origin form, and the host in Host.

The test failed before: "http://x.example/a?q=1" in place of "/a?q=1".

--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -1,7 +1,7 @@
 //! Heads of requests as they are received, and responses as they are sent.
 
 use bytes::BytesMut;
-use http::HeaderMap;
+use http::{HeaderMap, HeaderValue};
 
 use super::body::{Framing, declared_framing};
 use super::rejection::RejectReason;
@@ -85,13 +85,21 @@
     let mut req = httparse::Request::new(headers);
     match req.parse(buf) {
         Ok(httparse::Status::Complete(length)) => {
-            let headers = header_map(req.headers)
+            let mut headers = header_map(req.headers)
                 .ok_or_else(|| RejectReason::HeadMalformed("invalid header".into()))?;
             let framing = declared_framing(&headers)
                 .map_err(|problem| RejectReason::HeadMalformed(problem.into()))?;
+            let method = req.method.unwrap_or_default();
+            let mut target = req.path.unwrap_or_default().to_owned();
+            if let Some((host, origin_form)) = split_absolute_form(method, &target) {
+                let host = HeaderValue::from_str(host)
+                    .map_err(|_| RejectReason::HeadMalformed("invalid host".into()))?;
+                headers.insert(http::header::HOST, host);
+                target = origin_form;
+            }
             let head = Head {
-                method: req.method.unwrap_or_default().to_owned(),
-                target: req.path.unwrap_or_default().to_owned(),
+                method: method.to_owned(),
+                target,
                 headers,
                 framing: framing.unwrap_or(Framing::None),
                 is_http11: req.version == Some(1),
@@ -104,6 +112,22 @@
     }
 }
 
+/// Splits a request target in absolute form into its host, which goes before the `Host`
+/// header, and the target without it (RFC 9112, section 3.2.2); `None` for other forms.
+fn split_absolute_form<'a>(method: &str, target: &'a str) -> Option<(&'a str, String)> {
+    let (scheme, rest) = target.split_once("://")?;
+    if !scheme.eq_ignore_ascii_case("http") && !scheme.eq_ignore_ascii_case("https") {
+        return None;
+    }
+    let (host, rest) = rest.split_at(rest.find(['/', '?']).unwrap_or(rest.len()));
+    let origin_form = match rest {
+        "" if method == "OPTIONS" => "*".to_owned(),
+        path if path.starts_with('/') => path.to_owned(),
+        query => format!("/{query}"),
+    };
+    (!host.is_empty()).then_some((host, origin_form))
+}
+
 /// Encodes a response. One to a HEAD request has no body, and declares the length that
 /// the headers of `reply` declare, if any.
 pub(super) fn encode(reply: &Reply, persistence: Persistence, is_head: bool) -> BytesMut {
--- a/src/http1/server.rs
+++ b/src/http1/server.rs
@@ -41,9 +41,10 @@
 pub(crate) struct Request {
     /// Method as received.
     pub method: String,
-    /// Request target as received, usually a path and query.
+    /// Request target, usually a path and query; never in absolute form.
     pub target: String,
-    /// All headers as received, hop-by-hop ones included.
+    /// All headers as received, hop-by-hop ones included; `Host` is the one of a target in
+    /// absolute form.
     pub headers: HeaderMap,
     /// Body without its transfer coding.
     pub body: Arc<RequestBody>,
--- a/src/http1/tests.rs
+++ b/src/http1/tests.rs
@@ -1,6 +1,7 @@
 mod body;
 mod client;
 mod endless;
+mod head;
 mod pipeline;
 mod server;
 
