Find the routes of a host with the dot of a fully qualified name

The dot is left out when the route is looked up; targets get the header as it was sent. A port and capitals were treated so before.

The test failed before: no route in place of the one of a.example.

--- a/src/entry/request/routes.rs
+++ b/src/entry/request/routes.rs
@@ -33,10 +33,12 @@
         self.hosts.values().map(Vec::len).sum()
     }
 
-    /// The route with the longest prefix of `path`, for the value of a `Host` header.
+    /// The route with the longest prefix of `path`, for the value of a `Host` header, which
+    /// may have a port and the dot of a fully qualified name.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let name = name.strip_suffix('.').unwrap_or(name);
         self.hosts
             .get(&*lower_case(name))?
             .iter()
--- a/src/entry/request/routes/tests.rs
+++ b/src/entry/request/routes/tests.rs
@@ -49,6 +49,11 @@
     assert_eq!(find("a.example", "/x/y/1"), Some("long"));
     assert_eq!(find("a.example", "/x/z"), Some("short"));
     assert_eq!(find("A.Example:8080", "/x/"), Some("short"));
+    assert_eq!(
+        find("a.example.:8080", "/x/"),
+        Some("short"),
+        "fully qualified"
+    );
     assert_eq!(find("a.example", "/xy"), None);
     assert_eq!(find("c.example", "/"), None);
     assert_eq!(find("b.example", "/x/y/"), Some("other"));
