Allow chunk extensions and trailers of usual sizes

A chunked body with an extension or a trailer of more than 256 bytes, or with more than 64 trailers, ended with 400.

A line may have 8 KiB, and all trailers together 16 KiB, as much as a head by default. They are dropped as they arrive, so nothing more is held than one line.

The test failed before with a malformed body for an extension of 1,000 bytes.

--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -10,9 +10,9 @@
 use super::READ_BYTES;
 
 /// Longest line with a chunk's size and extensions, or with a trailer, in bytes.
-const MAX_CHUNK_LINE_BYTES: usize = 256;
-/// Maximum number of trailers; they are dropped.
-const MAX_TRAILERS: usize = 64;
+const MAX_CHUNK_LINE_BYTES: usize = 8 << 10;
+/// Maximum size of all trailers, in bytes; they are dropped.
+const MAX_TRAILER_BYTES: usize = 16 << 10;
 /// Bytes of each response that are not counted in a [`ResponseMemory`], so that short
 /// responses are read even while it is used up.
 const FREE_BYTES: usize = 64 << 10;
@@ -103,7 +103,7 @@
     ChunkData(usize),
     /// At the CRLF after the data of a chunk.
     ChunkEnd,
-    /// In the trailers after the last chunk, of which this many are known.
+    /// In the trailers after the last chunk, of which this many bytes were read.
     Trailers(usize),
     UntilClose,
     End,
@@ -201,14 +201,15 @@
                         size => DecoderState::ChunkData(size),
                     };
                 }
-                DecoderState::Trailers(count) => {
+                DecoderState::Trailers(bytes) => {
                     let Some(line) = take_line(buf)? else {
                         return Ok(Decoded::Incomplete);
                     };
+                    let bytes = bytes + line.len() + 2;
                     self.state = match line.is_empty() {
                         true => DecoderState::End,
-                        false if count < MAX_TRAILERS => DecoderState::Trailers(count + 1),
-                        false => return Err(BodyError::Malformed("too many trailers")),
+                        false if bytes <= MAX_TRAILER_BYTES => DecoderState::Trailers(bytes),
+                        false => return Err(BodyError::Malformed("trailers too long")),
                     };
                 }
             }
@@ -236,15 +237,16 @@
 /// Takes a line that ends with CRLF, without its end; `None` if it is incomplete.
 fn take_line(buf: &mut BytesMut) -> Result<Option<BytesMut>, BodyError> {
     const TOO_LONG: BodyError = BodyError::Malformed("chunk size line or trailer too long");
-    match buf.windows(2).position(|pair| pair == b"\r\n") {
-        Some(end) if end <= MAX_CHUNK_LINE_BYTES => {
+    let start = &buf[..buf.len().min(MAX_CHUNK_LINE_BYTES + 2)];
+    match start.windows(2).position(|pair| pair == b"\r\n") {
+        Some(end) => {
             let line = buf.split_to(end);
             buf.advance(2);
             Ok(Some(line))
         }
         // The last byte may be the first of the CRLF.
         None if buf.len() <= MAX_CHUNK_LINE_BYTES + 1 => Ok(None),
-        _ => Err(TOO_LONG),
+        None => Err(TOO_LONG),
     }
 }
 
--- a/src/http1/tests/body.rs
+++ b/src/http1/tests/body.rs
@@ -72,6 +72,29 @@
     });
 }
 
+#[test]
+fn extensions_and_trailers_are_malformed_only_beyond_their_limits() {
+    let extension = |length| format!("3;{}\r\nabc\r\n0\r\n\r\n", "x".repeat(length));
+    let trailers = |count| format!("3\r\nabc\r\n0\r\n{}\r\n", "a: b\r\n".repeat(count));
+    for (bytes, is_proper) in [
+        (extension(1000), true),
+        (extension(8 << 10), false),
+        (trailers(1000), true),
+        (trailers(16 << 10), false),
+    ] {
+        let (body, malformed) = match decode(Framing::Chunked, &[bytes.as_bytes()]) {
+            Ok((body, ..)) => (body, false),
+            Err(err) => (Vec::new(), matches!(err, BodyError::Malformed(_))),
+        };
+        let expected = if is_proper {
+            b"abc".to_vec()
+        } else {
+            Vec::new()
+        };
+        assert_eq!((body, malformed), (expected, !is_proper));
+    }
+}
+
 /// Whatever bytes arrive, a connection ends without a panic: one of a caller after its
 /// responses, and one to a target with a result.
 #[test]
