Note the end of a body that fills the space for it

A body whose declared length was just what is held of a request, 1 MiB, never counted as whole: its end was looked for only while there was space. But such a request could not be hedged, and the connection to the target counted as one with a rest of the body to send, which is not used again.

The end is noted as soon as the framing is complete.

The test failed before: the body was not held whole.

--- a/src/http1/incoming.rs
+++ b/src/http1/incoming.rs
@@ -67,7 +67,7 @@
     /// Moves what has arrived of it from `buf` to the body.
     pub(super) fn receive(&mut self, buf: &mut BytesMut) {
         while let Some(decoder) = &mut self.decoder
-            && self.body.has_space()
+            && (decoder.is_complete() || self.body.has_space())
         {
             match decoder.decode(buf, BODY_READ_BYTES) {
                 Ok(Decoded::Data(data)) => {
--- a/src/http1/tests/body.rs
+++ b/src/http1/tests/body.rs
@@ -1,6 +1,7 @@
 //! Decoding of bodies, and arbitrary bytes.
 
 use super::*;
+use crate::http1::incoming::IncomingBody;
 
 /// The result of decoding `bytes` that arrive in the given pieces.
 fn decode(framing: Framing, pieces: &[&[u8]]) -> Result<(Vec<u8>, bool, Vec<u8>), BodyError> {
@@ -95,6 +96,21 @@
     }
 }
 
+/// The body has no space left, and is whole.
+#[test]
+fn a_body_of_the_size_that_is_held_is_received_whole() {
+    const HELD: usize = 16 << 10;
+    let memory = Arc::new(BodyMemory::new(HELD, HELD));
+    let limits = RequestLimits {
+        max_body_bytes: HELD,
+        ..limits()
+    };
+    let mut incoming = IncomingBody::new(Framing::Length(HELD), false, limits, &memory);
+    incoming.receive(&mut [0; HELD][..].into());
+    assert!(!incoming.body.has_space());
+    assert!(incoming.body.is_held_whole());
+}
+
 /// Whatever bytes arrive, a connection ends without a panic: one of a caller after its
 /// responses, and one to a target with a result.
 #[test]
