Refuse what exceeds the limits of an outdated configuration

The limits are part of the configuration like the routes, so the same decision holds: 503 with Retry-After, not run, and the connection is closed as before. A chunked body that proves too long after some of it was sent ends with 502, since a target may have run it. A head of more headers than can be parsed, or a malformed one, is rejected by any configuration.

The test failed before with 431 and 413 in place of 503.

--- a/src/entry/request/forward.rs
+++ b/src/entry/request/forward.rs
@@ -33,6 +33,7 @@
 use crate::entry::shared::Shared;
 use crate::entry::target::placement;
 use crate::entry::target::selection::{ChosenTarget, NoTarget};
+use crate::http1::body::BodyError;
 use crate::http1::client::Response;
 use crate::http1::rejection::Rejection;
 use crate::http1::server::{Reply, Request};
@@ -118,20 +119,30 @@
     reply
 }
 
-/// Counts and logs a request that was rejected before it was routed.
-pub(crate) fn record_rejection(shared: &Shared, rejection: &Rejection) {
+/// Counts and logs a request that was rejected before it was routed, and returns the response.
+pub(crate) fn reject(shared: &Shared, rejection: &Rejection) -> Reply {
     let reason = &rejection.reason;
-    shared.metrics.record_rejection(reason.outcome());
+    let refusal = if reason.is_over_limit() {
+        shared.state().refusal_over_limit()
+    } else {
+        None
+    };
+    let (outcome, reply) = match refusal {
+        Some(refusal) => (refusal.to_string(), reply(refusal, DEFAULT_RETRY_AFTER)),
+        None => (reason.outcome().to_owned(), rejection.reply()),
+    };
+    shared.metrics.record_rejection(&outcome);
     tracing::info!(
         request = wire::request_meta(&rejection.headers).id,
-        outcome = reason.outcome(),
-        status = reason.status(),
+        outcome,
+        status = reply.status,
         %reason,
         version = shared.state().status.version,
         buffered_bytes = rejection.buffered,
         requests_before = rejection.requests_before,
         "request rejected before routing"
     );
+    reply
 }
 
 /// Whether a request may run before earlier ones of its connection are answered: it is
@@ -232,7 +243,7 @@
             let arrival = body.arrival();
             if let Some(err) = body.failure() {
                 self.log_body_failure(&err);
-                return Err(Outcome::of_body_failure(&err, true));
+                return Err(self.body_outcome(&err, true));
             }
             if upload::may_take_target(&arrival, self.outbound.started.elapsed(), &settings) {
                 break;
@@ -257,6 +268,20 @@
         Ok(())
     }
 
+    /// The outcome of a request whose body can't be received whole. A newer configuration may
+    /// allow one that is too long here.
+    fn body_outcome(&self, err: &BodyError, not_run: bool) -> Outcome {
+        let outcome = Outcome::of_body_failure(err, not_run);
+        if outcome != Outcome::BodyTooLarge {
+            return outcome;
+        }
+        match self.shared.state().refusal_over_limit() {
+            Some(_) if !not_run => Outcome::Lost,
+            Some(refusal) => refusal,
+            None => outcome,
+        }
+    }
+
     async fn run(&mut self) -> (Outcome, Reply) {
         if let Err(refused) = self.take_token().await {
             return refused;
--- a/src/entry/request/forward/ending.rs
+++ b/src/entry/request/forward/ending.rs
@@ -93,7 +93,7 @@
     ) -> (Outcome, Reply) {
         if let Some(err) = self.outbound.body.failure() {
             self.log_body_failure(&err);
-            let outcome = Outcome::of_body_failure(&err, self.history.not_run());
+            let outcome = self.body_outcome(&err, self.history.not_run());
             return (outcome, reply(outcome, refusal.retry_after));
         }
         if self.history.not_run() {
--- a/src/entry/request/forward/tests.rs
+++ b/src/entry/request/forward/tests.rs
@@ -7,6 +7,8 @@
 use crate::entry::fleet::message::RelayedStatus;
 use crate::entry::target::load::Load;
 use crate::entry::testing::{instance, request};
+use crate::http1::rejection::RejectReason;
+use crate::http1::request_body::{BodyMemory, RequestBody};
 
 /// Path of a request that is found to crash targets while it is handled.
 const PATH: &str = "/x";
@@ -41,6 +43,21 @@
     shared.capacity_freed.notify_waiters();
 }
 
+/// Reports that a peer has this version of the configuration.
+fn hear_of_version(shared: &Shared, version: u64) {
+    let peer = RelayedStatus {
+        address: ([127, 0, 0, 2], 7000).into(),
+        zone: "a".into(),
+        status: InstanceStatus {
+            version,
+            ..InstanceStatus::default()
+        },
+        age_ms: 0,
+    };
+    let now = shared.now();
+    shared.state().receive_relayed(now, &[peer]);
+}
+
 async fn wait_until(is_met: impl Fn() -> bool) {
     while !is_met() {
         tokio::time::sleep(Duration::from_millis(5)).await;
@@ -184,18 +201,7 @@
     shared.state().accounts = Some(AccountTable::new(&[account]));
     let mut seen = Vec::new();
     for peer_version in [1, 2] {
-        let status = InstanceStatus {
-            version: peer_version,
-            ..InstanceStatus::default()
-        };
-        let peer = RelayedStatus {
-            address: ([127, 0, 0, 2], 7000).into(),
-            zone: "a".into(),
-            status,
-            age_ms: 0,
-        };
-        let now = shared.now();
-        shared.state().receive_relayed(now, &[peer]);
+        hear_of_version(&shared, peer_version);
         for req in [&no_route, &no_key] {
             let reply = serve(shared.clone(), req.clone()).await;
             seen.push((reply.status, reply.headers.contains_key("retry-after")));
@@ -204,3 +210,33 @@
     let current = [(404, false), (401, false)];
     assert_eq!(seen, [current, [(503, true); 2]].concat());
 }
+
+/// Those of a newer or the first configuration may be wider.
+#[tokio::test]
+async fn the_limits_of_an_outdated_configuration_deny_no_request() {
+    for (own, of_peer, expected) in [
+        (1, 1, [431, 431, 413]),
+        (1, 2, [503, 431, 503]),
+        (0, 0, [503, 431, 503]),
+    ] {
+        let shared = instance(&[]);
+        hear_of_version(&shared, of_peer);
+        shared.state().status.version = own;
+        let mut seen = Vec::new();
+        for reason in [RejectReason::HeadTooLarge(1), RejectReason::TooManyHeaders] {
+            let rejection = Rejection {
+                reason,
+                headers: HeaderMap::new(),
+                buffered: 0,
+                requests_before: 0,
+            };
+            seen.push(reject(&shared, &rejection).status);
+        }
+        let mut long = request(PATH, "long");
+        let body = RequestBody::new(None, Arc::new(BodyMemory::new(0, 0)));
+        body.end(Err(BodyError::TooLarge(1)));
+        long.body = body.into();
+        seen.push(serve(shared.clone(), long).await.status);
+        assert_eq!(seen, expected, "version {own}, {of_peer} of a peer");
+    }
+}
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -180,7 +180,7 @@
         may_run_ahead: Box::new(move |target, headers| {
             forward::may_run_ahead(&ahead_shared, target, headers)
         }),
-        rejected: Box::new(move |rejection| forward::record_rejection(&rejected_shared, rejection)),
+        rejected: Box::new(move |rejection| forward::reject(&rejected_shared, rejection)),
         limits: Box::new(move || {
             let limits = limits_shared.state().caller_limits();
             RequestLimits {
@@ -220,6 +220,7 @@
         may_run_ahead: Box::new(|_, _| false),
         rejected: Box::new(|rejection| {
             tracing::info!(reason = %rejection.reason, "request to an endpoint rejected");
+            rejection.reply()
         }),
         limits: Box::new(|| {
             let limits = crate::entry::model::CallerLimits::default();
--- a/src/entry/run/tests.rs
+++ b/src/entry/run/tests.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use crate::entry::settings::Tuning;
+use crate::http1::rejection::Rejection;
 use crate::http1::request_body::BodyMemory;
 
 /// The platform's time from SIGTERM to the end of the process.
@@ -68,7 +69,7 @@
     let context = ServerContext {
         handler: |_, _| async { Reply::empty(204) },
         body_memory: Arc::new(BodyMemory::new(0, 0)),
-        rejected: Box::new(|_| {}),
+        rejected: Box::new(Rejection::reply),
         may_run_ahead: Box::new(|_, _| false),
         limits: Box::new(|| RequestLimits {
             max_header_bytes: 1024,
--- a/src/entry/state/outdated.rs
+++ b/src/entry/state/outdated.rs
@@ -19,10 +19,17 @@
 impl State {
     /// The outcome of a request that the own configuration denies; a newer one may allow it.
     pub(crate) fn denial(&self, outcome: Outcome) -> Outcome {
-        match self.newer_configuration() {
-            Some(_) => Outcome::ConfigurationOutdated,
-            None => outcome,
+        let newer = self.newer_configuration();
+        newer.map_or(outcome, |_| Outcome::ConfigurationOutdated)
+    }
+
+    /// The outcome of a request beyond a limit of the own configuration if it is not denied.
+    pub(crate) fn refusal_over_limit(&self) -> Option<Outcome> {
+        if self.status.version == 0 {
+            return Some(Outcome::NoConfiguration);
         }
+        let newer = self.newer_configuration();
+        newer.map(|_| Outcome::ConfigurationOutdated)
     }
 
     /// A newer configuration than the own one that is known to be in force somewhere.
--- a/src/http1/rejection.rs
+++ b/src/http1/rejection.rs
@@ -2,6 +2,8 @@
 
 use http::HeaderMap;
 
+use super::server::Reply;
+
 /// Why a request is rejected.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
 pub(crate) enum RejectReason {
@@ -37,6 +39,11 @@
         }
     }
 
+    /// Whether a limit of the configuration is the reason.
+    pub(crate) fn is_over_limit(&self) -> bool {
+        matches!(self, Self::HeadTooLarge(_) | Self::BodyTooLarge(_))
+    }
+
     /// Name of the outcome, for the metrics.
     pub(crate) fn outcome(&self) -> &'static str {
         match self {
@@ -62,3 +69,10 @@
     /// Requests of the connection that were handled before.
     pub requests_before: u64,
 }
+
+impl Rejection {
+    /// The response that the reason implies.
+    pub(crate) fn reply(&self) -> Reply {
+        Reply::empty(self.reason.status())
+    }
+}
--- a/src/http1/server.rs
+++ b/src/http1/server.rs
@@ -107,8 +107,8 @@
     /// are answered. If the connection ends, its client sends it again, so it must be
     /// idempotent.
     pub may_run_ahead: MayRunAhead,
-    /// Called with each request that is rejected before it reaches the handler.
-    pub rejected: Box<dyn Fn(&Rejection) + Send + Sync>,
+    /// Returns the response to a request that is rejected before it reaches the handler.
+    pub rejected: Box<dyn Fn(&Rejection) -> Reply + Send + Sync>,
     /// Memory for the bodies of requests.
     pub body_memory: Arc<BodyMemory>,
     /// Current phase of a graceful shutdown.
@@ -132,8 +132,7 @@
                     pipeline.push(start(context, peer, head, received, limits));
                 }
                 Next::Reject(rejection) => {
-                    (context.rejected)(&rejection);
-                    let reply = Reply::empty(rejection.reason.status());
+                    let reply = (context.rejected)(&rejection);
                     if conn.send(&encode(&reply, Persistence::Close, false)).await {
                         conn.close().await;
                     }
--- a/src/http1/tests.rs
+++ b/src/http1/tests.rs
@@ -17,6 +17,7 @@
 
 use super::body::{BodyDecoder, BodyError, Decoded, Framing, ResponseMemory};
 use super::client::{Conn, ExchangeError, OutgoingBody, OutgoingRequest, Response};
+use super::rejection::Rejection;
 use super::request_body::{BodyMemory, RequestBody};
 use super::server::{Reply, Request, RequestLimits, ServerContext, ShutdownPhase, serve};
 
--- a/src/http1/tests/body.rs
+++ b/src/http1/tests/body.rs
@@ -138,7 +138,7 @@
                     Reply::empty(200)
                 },
                 limits: Box::new(limits),
-                rejected: Box::new(|_| {}),
+                rejected: Box::new(Rejection::reply),
                 may_run_ahead: Box::new(|_, _| false),
                 body_memory: memory(),
                 shutdown,
--- a/src/http1/tests/pipeline.rs
+++ b/src/http1/tests/pipeline.rs
@@ -77,7 +77,7 @@
             },
             may_run_ahead: Box::new(|target, _| target.starts_with("/safe")),
             limits: Box::new(limits),
-            rejected: Box::new(|_| {}),
+            rejected: Box::new(Rejection::reply),
             body_memory: memory(),
             shutdown,
         };
--- a/src/http1/tests/server.rs
+++ b/src/http1/tests/server.rs
@@ -39,7 +39,7 @@
         },
         limits: Box::new(move || limits),
         may_run_ahead: Box::new(|_, _| false),
-        rejected: Box::new(|_| {}),
+        rejected: Box::new(Rejection::reply),
         body_memory: memory(),
         shutdown,
     });
@@ -166,7 +166,7 @@
         },
         limits: Box::new(limits),
         may_run_ahead: Box::new(|_, _| false),
-        rejected: Box::new(|_| {}),
+        rejected: Box::new(Rejection::reply),
         body_memory: memory(),
         shutdown,
     };
@@ -341,7 +341,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let context = ServerContext {
-        rejected: Box::new(|_| {}),
+        rejected: Box::new(Rejection::reply),
         handler: |req: Request, _: SocketAddr| async move {
             let mut read = 0;
             loop {
@@ -398,6 +398,7 @@
         rejected: Box::new(move |rejection| {
             let line = (rejection.reason.to_string(), rejection.requests_before);
             reported.lock().unwrap().push(line);
+            rejection.reply()
         }),
         limits: Box::new(limits),
         may_run_ahead: Box::new(|_, _| false),
@@ -462,7 +463,7 @@
                 false => limits(),
             }
         }),
-        rejected: Box::new(|_| {}),
+        rejected: Box::new(Rejection::reply),
         may_run_ahead: Box::new(|_, _| false),
         body_memory: memory(),
         shutdown,
