--- a/src/entry/request/attempt/tests.rs
+++ b/src/entry/request/attempt/tests.rs
@@ -1,4 +1,5 @@
-//! Targets that send a second copy of a response when the next request arrives.
+//! Targets that send a second copy of a response when the next request arrives, or
+//! responses without a signature.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -56,9 +57,7 @@
     let mut copy = String::new();
     while let Some(head) = read_head(&mut stream).await {
         let path = head.split(' ').nth(1).unwrap();
-        let id = head
-            .lines()
-            .find_map(|line| line.strip_prefix("x-request-id: "));
+        let id = request_id(&head);
         let (kind, response) = match (id, path) {
             (None, _) => (Copied::Check, HEALTHY.into()),
             (Some(id), "/shed") if copied == Copied::ShedWithId => (
@@ -103,7 +102,12 @@
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
     }
-    Some(String::from_utf8(head).unwrap())
+    String::from_utf8(head).ok()
+}
+
+fn request_id(head: &str) -> Option<&str> {
+    let mut lines = head.lines();
+    lines.find_map(|line| line.strip_prefix("x-request-id: "))
 }
 
 /// Sends requests one after the other, so that they share connections.
@@ -164,3 +168,51 @@
         assert_eq!((reply.status, &*reply.body), (502, &b""[..]), "{earlier}");
     }
 }
+
+/// Starts a target whose responses have the status and the id of their requests, but no
+/// signature; it doesn't run requests without an id.
+async fn start_unsigned(status: u16) -> Arc<Shared> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                while let Some(head) = read_head(&mut stream).await {
+                    let (status, headers) = match request_id(&head) {
+                        Some(id) => (status, format!("x-request-id: {id}")),
+                        None if head.starts_with("GET /health ") => {
+                            (200, "x-instance-id: t".to_owned())
+                        }
+                        None => (400, "x-not-executed: 1".to_owned()),
+                    };
+                    let response =
+                        format!("HTTP/1.1 {status} X\r\n{headers}\r\ncontent-length: 0\r\n\r\n");
+                    if stream.write_all(response.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    instance_with(&[("t", address)])
+}
+
+/// Anything between instance and target may have sent it, while the target runs the request.
+#[tokio::test]
+async fn an_unsigned_response_is_no_reason_to_deny_a_request() {
+    for status in [301, 400, 404] {
+        let shared = start_unsigned(status).await;
+        let reply = forward::serve(shared, request("/x", "id")).await;
+        assert_eq!(reply.status, 502, "status {status} of the target");
+    }
+}
+
+/// No proper client names the header of its id as one of the connection.
+#[tokio::test]
+async fn a_request_whose_id_is_dropped_as_hop_by_hop_is_refused_and_not_denied() {
+    let shared = start_unsigned(200).await;
+    let mut req = request("/x", "id");
+    let named = http::HeaderValue::from_static("x-request-id");
+    req.headers.insert(http::header::CONNECTION, named);
+    assert_eq!(forward::serve(shared, req).await.status, 503);
+}
--- a/src/http1/tests/body.rs
+++ b/src/http1/tests/body.rs
@@ -1,6 +1,7 @@
 //! Decoding of bodies, and arbitrary bytes.
 
 use super::*;
+use crate::http1::incoming::IncomingBody;
 
 /// The result of decoding `bytes` that arrive in the given pieces.
 fn decode(framing: Framing, pieces: &[&[u8]]) -> Result<(Vec<u8>, bool, Vec<u8>), BodyError> {
@@ -72,6 +73,44 @@
     });
 }
 
+#[test]
+fn extensions_and_trailers_are_malformed_only_beyond_their_limits() {
+    let extension = |length| format!("3;{}\r\nabc\r\n0\r\n\r\n", "x".repeat(length));
+    let trailers = |count| format!("3\r\nabc\r\n0\r\n{}\r\n", "a: b\r\n".repeat(count));
+    for (bytes, is_proper) in [
+        (extension(1000), true),
+        (extension(8 << 10), false),
+        (trailers(1000), true),
+        (trailers(16 << 10), false),
+    ] {
+        let (body, malformed) = match decode(Framing::Chunked, &[bytes.as_bytes()]) {
+            Ok((body, ..)) => (body, false),
+            Err(err) => (Vec::new(), matches!(err, BodyError::Malformed(_))),
+        };
+        let expected = if is_proper {
+            b"abc".to_vec()
+        } else {
+            Vec::new()
+        };
+        assert_eq!((body, malformed), (expected, !is_proper));
+    }
+}
+
+/// The body has no space left, and is whole.
+#[test]
+fn a_body_of_the_size_that_is_held_is_received_whole() {
+    const HELD: usize = 16 << 10;
+    let memory = Arc::new(BodyMemory::new(HELD, HELD));
+    let limits = RequestLimits {
+        max_body_bytes: HELD,
+        ..limits()
+    };
+    let mut incoming = IncomingBody::new(Framing::Length(HELD), false, limits, &memory);
+    incoming.receive(&mut [0; HELD][..].into());
+    assert!(!incoming.body.has_space());
+    assert!(incoming.body.is_held_whole());
+}
+
 /// Whatever bytes arrive, a connection ends without a panic: one of a caller after its
 /// responses, and one to a target with a result.
 #[test]
@@ -99,7 +138,7 @@
                     Reply::empty(200)
                 },
                 limits: Box::new(limits),
-                rejected: Box::new(|_| {}),
+                rejected: Box::new(Rejection::reply),
                 may_run_ahead: Box::new(|_, _| false),
                 body_memory: memory(),
                 shutdown,
--- a/src/http1/tests/server.rs
+++ b/src/http1/tests/server.rs
@@ -39,7 +39,7 @@
         },
         limits: Box::new(move || limits),
         may_run_ahead: Box::new(|_, _| false),
-        rejected: Box::new(|_| {}),
+        rejected: Box::new(Rejection::reply),
         body_memory: memory(),
         shutdown,
     });
@@ -166,7 +166,7 @@
         },
         limits: Box::new(limits),
         may_run_ahead: Box::new(|_, _| false),
-        rejected: Box::new(|_| {}),
+        rejected: Box::new(Rejection::reply),
         body_memory: memory(),
         shutdown,
     };
@@ -341,7 +341,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let context = ServerContext {
-        rejected: Box::new(|_| {}),
+        rejected: Box::new(Rejection::reply),
         handler: |req: Request, _: SocketAddr| async move {
             let mut read = 0;
             loop {
@@ -398,6 +398,7 @@
         rejected: Box::new(move |rejection| {
             let line = (rejection.reason.to_string(), rejection.requests_before);
             reported.lock().unwrap().push(line);
+            rejection.reply()
         }),
         limits: Box::new(limits),
         may_run_ahead: Box::new(|_, _| false),
@@ -415,3 +416,71 @@
     let expected = ("malformed head: invalid HTTP version".to_owned(), 1);
     assert_eq!(*reasons.lock().unwrap(), [expected]);
 }
+
+/// The limit on a head is in bytes, and short headers are proper.
+#[tokio::test]
+async fn a_request_with_many_headers_is_rejected_only_for_its_bytes() {
+    const LINE: &str = "a: b\r\n";
+    let (_tx, shutdown) = watch::channel(ShutdownPhase::Serving);
+    let address = echo_server(shutdown).await;
+    let max = limits().max_header_bytes;
+    let (start, end) = ("GET / HTTP/1.1\r\n", "\r\n");
+    let fitting = (max - start.len() - end.len()) / LINE.len();
+    for (count, status) in [(fitting, "200"), (fitting + 1, "431")] {
+        let head = [start, &LINE.repeat(count), end].concat();
+        let response = send_bytes(address, head.as_bytes()).await;
+        assert_eq!(response.split(' ').nth(1), Some(status), "{count} headers");
+    }
+}
+
+/// The limits change while the connection is idle.
+#[tokio::test]
+async fn a_request_on_an_idle_connection_is_not_judged_by_earlier_limits() {
+    let is_served = Arc::new(AtomicUsize::new(0));
+    let (set_served, asked) = (is_served.clone(), AtomicUsize::new(0));
+    let (_tx, shutdown) = watch::channel(ShutdownPhase::Serving);
+    let context = ServerContext {
+        handler: move |req: Request, _: SocketAddr| {
+            let set_served = set_served.clone();
+            async move {
+                collect(&req.body).await.unwrap();
+                set_served.store(1, Ordering::SeqCst);
+                Reply::empty(200)
+            }
+        },
+        limits: Box::new(move || {
+            let is_idle = is_served.load(Ordering::SeqCst) == 1;
+            match is_idle && asked.fetch_add(1, Ordering::SeqCst) == 0 {
+                // They end the connection before its next request.
+                true => RequestLimits {
+                    idle_timeout: Duration::from_millis(1),
+                    ..limits()
+                },
+                false if is_idle => RequestLimits {
+                    max_body_bytes: limits().max_body_bytes + 1,
+                    ..limits()
+                },
+                false => limits(),
+            }
+        }),
+        rejected: Box::new(Rejection::reply),
+        may_run_ahead: Box::new(|_, _| false),
+        body_memory: memory(),
+        shutdown,
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (stream, peer) = listener.accept().await.unwrap();
+        serve(stream, peer, &context).await;
+    });
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(GET).await.unwrap();
+    read_until(&mut stream, "\r\n\r\n").await;
+    let length = limits().max_body_bytes + 1;
+    let head = format!("POST / HTTP/1.1\r\ncontent-length: {length}\r\n\r\n");
+    let request = head + &"x".repeat(length);
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let response = read_until(&mut stream, "\r\n\r\n").await;
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+}
