Give up a response of the store when it stalls, not for its size

Callers got 404 for routes of a configuration that instances did not get. The timeout of a read, 1.5 s, covered a whole page of up to 1 MB of values, which in base64 takes over a second on a link of 10 Mbit/s and more beside other traffic; that of a watch covered its whole answer. What had arrived was thrown away, the connection closed, and the same or a larger answer asked for again.

The client of the store now observes what arrives. A response without a byte is given up as early as before. One that has begun may go on past its timeout, until it stalls for 800 ms, no longer than the shortest watch waits, or falls below 32 KiB/s, so that a trickle holds no call for ever. The client of targets observes nothing, and works as before.

The test failed at its first assertion before: a page sent byte by byte, with the timeout of a call shorter than all of it, was given up with "timed out". It also fails with the stall timeout or the minimum rate taken out.

--- a/src/entry/fleet/sync/tests.rs
+++ b/src/entry/fleet/sync/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::platform::prepared::store::WATCH_MARGIN;
+use crate::platform::prepared::store::{RESPONSE_STALL_TIMEOUT, WATCH_MARGIN};
 
 /// Time from the store's return until a configuration must be in force everywhere: the
 /// time in which instances may lack contact, and the limit itself.
@@ -8,14 +8,15 @@
 /// Maximum time from the store's return until a watcher detects a change, if its watch
 /// was opened just before the return and stays silent.
 fn max_detection_delay(tuning: &Tuning, is_reachable: bool) -> Duration {
-    let silent = watch_timeout(is_reachable, tuning) + WATCH_MARGIN;
+    // A response that had begun may have stalled.
+    let silent = |wait: Duration| (wait + WATCH_MARGIN).max(RESPONSE_STALL_TIMEOUT);
     // The backoff is shortest after a response and longest after many failures.
     let pause = if is_reachable {
         BACKOFF_RANGE.0
     } else {
         BACKOFF_RANGE.1
     };
-    silent + pause + watch_timeout(false, tuning) + WATCH_MARGIN
+    silent(watch_timeout(is_reachable, tuning)) + pause + silent(watch_timeout(false, tuning))
 }
 
 #[test]
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -1,15 +1,20 @@
 //! Client side of one connection: sends a request, whose body may still be arriving, and
 //! reads the whole response.
 
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use http::HeaderMap;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::time::Instant;
 
 use super::body::{BodyError, Framing, ResponseMemory, declared_framing, read_body};
 use super::request_body::{ReadError, RequestBody};
@@ -64,6 +69,66 @@
     pub chunked: bool,
 }
 
+/// How far a response has arrived, for others than its reader.
+#[derive(Debug, Default)]
+pub(crate) struct ResponseProgress(Mutex<Received>);
+
+/// What has arrived of a response.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Received {
+    /// Bytes on the connection.
+    pub bytes: usize,
+    /// When the last of them arrived.
+    pub last: Option<Instant>,
+}
+
+impl ResponseProgress {
+    /// What has arrived since the last [`Self::reset`].
+    pub(crate) fn received(&self) -> Received {
+        *self.lock()
+    }
+
+    /// Starts again with the next response.
+    pub(crate) fn reset(&self) {
+        *self.lock() = Received::default();
+    }
+
+    fn add(&self, bytes: usize) {
+        let mut received = self.lock();
+        received.bytes += bytes;
+        received.last = Some(Instant::now());
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Received> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Reads from a connection, and records the progress if it is observed.
+struct Reader<'a> {
+    rx: ReadHalf<'a>,
+    progress: Option<&'a ResponseProgress>,
+}
+
+impl AsyncRead for Reader<'_> {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let before = buf.filled().len();
+        let result = Pin::new(&mut this.rx).poll_read(cx, buf);
+        let bytes = buf.filled().len() - before;
+        if let Some(progress) = this.progress
+            && bytes > 0
+        {
+            progress.add(bytes);
+        }
+        result
+    }
+}
+
 /// Why an exchange failed.
 #[derive(Debug, derive_more::Display)]
 pub(crate) enum ExchangeError {
@@ -143,7 +208,21 @@
         req: &OutgoingRequest<'_>,
         is_match: impl Fn(&Response) -> bool,
     ) -> Result<Response, ExchangeError> {
-        let (mut rx, mut tx) = self.stream.split();
+        self.exchange_observed(req, is_match, None).await
+    }
+
+    /// Like [`Self::exchange`], and records what arrives in `progress`.
+    ///
+    /// # Errors
+    /// See [`Self::exchange`].
+    pub(crate) async fn exchange_observed(
+        &mut self,
+        req: &OutgoingRequest<'_>,
+        is_match: impl Fn(&Response) -> bool,
+        progress: Option<&ResponseProgress>,
+    ) -> Result<Response, ExchangeError> {
+        let (rx, mut tx) = self.stream.split();
+        let mut rx = Reader { rx, progress };
         let mut sender = Sender::new(req);
         let mut write_error = None;
         let resp = {
@@ -253,7 +332,7 @@
 /// Reads responses until one matches, and clears `reusable` if the connection must not
 /// be used again.
 async fn read_matching(
-    rx: &mut ReadHalf<'_>,
+    rx: &mut Reader<'_>,
     buf: &mut BytesMut,
     req: &OutgoingRequest<'_>,
     is_match: impl Fn(&Response) -> bool,
@@ -281,7 +360,7 @@
 /// Reads one response, without the informational (1xx) ones before it. The flag is true
 /// if the peer keeps the connection open after it.
 async fn read_response(
-    rx: &mut ReadHalf<'_>,
+    rx: &mut Reader<'_>,
     buf: &mut BytesMut,
     req: &OutgoingRequest<'_>,
 ) -> Result<(Response, bool), ExchangeError> {
@@ -311,7 +390,7 @@
 }
 
 async fn read_head(
-    rx: &mut ReadHalf<'_>,
+    rx: &mut Reader<'_>,
     buf: &mut BytesMut,
 ) -> Result<(u16, HeaderMap, bool), ExchangeError> {
     loop {
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -11,17 +11,30 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
+use tokio::time::Instant;
 
 use super::{record, wire};
 use crate::entry::fleet::replica::Position;
 use crate::entry::model::Change;
-use crate::http1::client::{Conn, ExchangeError, OutgoingRequest, Response};
+use crate::http1::client::{
+    Conn, ExchangeError, OutgoingRequest, Received, Response, ResponseProgress,
+};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Timeout for a response; a slow store takes hundreds of milliseconds.
+/// Timeout for a response; a slow store takes hundreds of milliseconds. A response that
+/// makes progress may take longer, see [`ProgressLimits`].
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time that the response to a watch may take beyond the watch's own wait.
 pub(crate) const WATCH_MARGIN: Duration = Duration::from_millis(700);
+/// Limits of a response that has not ended within its timeout.
+const PROGRESS_LIMITS: ProgressLimits = ProgressLimits {
+    stall_timeout: RESPONSE_STALL_TIMEOUT,
+    // About forty transfers that share a link of 10 Mbit/s.
+    min_bytes_per_second: 32 << 10,
+};
+/// Time without a byte after which a response that has begun is given up: that of the
+/// shortest watch.
+pub(crate) const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Largest response: a page of at most 1 MB, in base64 and with the fields around it.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
@@ -82,11 +95,36 @@
     pub problem: String,
 }
 
+/// How long a response may take beyond its timeout while it makes progress.
+#[derive(Debug, Clone, Copy)]
+struct ProgressLimits {
+    /// Longest time without a byte.
+    stall_timeout: Duration,
+    /// Lowest rate over the whole of the time beyond the timeout.
+    min_bytes_per_second: u32,
+}
+
+impl ProgressLimits {
+    /// When a response is given up whose timeout ends at `timeout_end`.
+    fn deadline(self, timeout_end: Instant, received: Received) -> Instant {
+        let Some(last) = received.last else {
+            return timeout_end;
+        };
+        let bytes = u32::try_from(received.bytes).unwrap_or(u32::MAX);
+        let at_min_rate =
+            Duration::from_secs_f64(f64::from(bytes) / f64::from(self.min_bytes_per_second));
+        timeout_end.max((last + self.stall_timeout).min(timeout_end + at_min_rate))
+    }
+}
+
 /// Client with one connection to the store, which is opened on demand.
 #[derive(Debug)]
 pub(crate) struct StoreClient {
     address: SocketAddr,
     conn: Option<Conn>,
+    call_timeout: Duration,
+    progress_limits: ProgressLimits,
+    progress: ResponseProgress,
     calls: Arc<prometheus::IntCounterVec>,
 }
 
@@ -96,6 +134,9 @@
         Self {
             address,
             conn: None,
+            call_timeout: CALL_TIMEOUT,
+            progress_limits: PROGRESS_LIMITS,
+            progress: ResponseProgress::default(),
             calls,
         }
     }
@@ -119,7 +160,8 @@
                 "/api/kv-range?prefix=&after={}{stale}",
                 percent_encode(&after)
             );
-            let Answer { era, body: page } = self.get::<Page>("range", &path, CALL_TIMEOUT).await?;
+            let Answer { era, body: page } =
+                self.get::<Page>("range", &path, self.call_timeout).await?;
             let (first_era, revision) = *first.get_or_insert((era, page.store_revision));
             if era != first_era {
                 return Err(StoreError::Restored);
@@ -240,7 +282,7 @@
             self.address,
             body.len()
         );
-        self.call(kind, req.as_bytes(), CALL_TIMEOUT).await
+        self.call(kind, req.as_bytes(), self.call_timeout).await
     }
 
     async fn call<T: DeserializeOwned>(
@@ -264,12 +306,17 @@
             max_response_bytes: MAX_RESPONSE_BYTES,
             memory: None,
         };
-        let resp = match tokio::time::timeout(timeout, conn.exchange(&outgoing, |_| true)).await {
-            Ok(resp) => {
-                resp.map_err(|err: ExchangeError| StoreError::OutcomeUnknown(err.to_string()))?
-            }
-            Err(_) => return Err(StoreError::OutcomeUnknown("timed out".into())),
+        self.progress.reset();
+        let timeout_end = Instant::now() + timeout;
+        let deadline = || {
+            let received = self.progress.received();
+            self.progress_limits.deadline(timeout_end, received)
         };
+        let exchange = conn.exchange_observed(&outgoing, |_| true, Some(&self.progress));
+        let resp = complete_by(deadline, exchange)
+            .await
+            .ok_or_else(|| StoreError::OutcomeUnknown("timed out".into()))?
+            .map_err(|err: ExchangeError| StoreError::OutcomeUnknown(err.to_string()))?;
         self.conn = Some(conn);
         Ok(Answer {
             era: wire::store_era(&resp.headers),
@@ -278,6 +325,22 @@
     }
 }
 
+/// Result of `task`; `None` once a deadline that may be extended has passed.
+async fn complete_by<T>(
+    deadline: impl Fn() -> Instant,
+    task: impl Future<Output = T>,
+) -> Option<T> {
+    tokio::pin!(task);
+    loop {
+        let until = deadline();
+        match tokio::time::timeout_at(until, &mut task).await {
+            Ok(result) => return Some(result),
+            Err(_) if deadline() <= until => return None,
+            Err(_) => {}
+        }
+    }
+}
+
 /// Body of a response of the store, with its era.
 struct Answer<T> {
     era: u64,
--- a/src/platform/prepared/store/tests.rs
+++ b/src/platform/prepared/store/tests.rs
@@ -4,6 +4,9 @@
 use prometheus::{IntCounterVec, Opts};
 use standin::prepared::store::{Faults, Mode, StoreStandin};
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
 use super::*;
 use crate::entry::model::Record;
 
@@ -207,3 +210,58 @@
     let result = client.watch(start, WAIT).await;
     assert!(matches!(result, Err(StoreError::Restored)), "{result:?}");
 }
+
+/// Timeout that only a hang reaches on the loopback interface.
+const HANG_TIMEOUT: Duration = Duration::from_secs(20);
+/// Timeout of calls in tests of slow responses, and the pause between two of their pieces.
+const SHORT: Duration = Duration::from_millis(100);
+
+/// Starts a store that sends an empty page byte by byte, and only `sent` bytes of it.
+async fn slow_store(sent: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream.set_nodelay(true).unwrap();
+        let _ = stream.read(&mut [0; 1024]).await;
+        let page = r#"{"items":[],"store_revision":7}"#;
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", page.len());
+        for byte in (head + page).as_bytes().iter().take(sent) {
+            let _ = stream.write_all(&[*byte]).await;
+            tokio::time::sleep(SHORT / 5).await;
+        }
+        std::future::pending::<()>().await;
+    });
+    address
+}
+
+/// Result of a read from a [`slow_store`].
+async fn slow_read(sent: usize, progress_limits: ProgressLimits) -> Result<u64, StoreError> {
+    let (_, mut client) = setup().await;
+    client.address = slow_store(sent).await;
+    client.call_timeout = SHORT;
+    client.progress_limits = progress_limits;
+    let read = client.read_all(ReadConsistency::Linearizable);
+    let read = tokio::time::timeout(HANG_TIMEOUT, read).await;
+    read.expect("given up or complete").map(|set| set.revision)
+}
+
+/// A large page takes longer than the timeout of a call on a narrow link.
+#[tokio::test]
+async fn a_response_is_given_up_when_it_stalls_or_trickles_but_not_while_it_makes_progress() {
+    let patient = ProgressLimits {
+        stall_timeout: SHORT * 10,
+        min_bytes_per_second: 1,
+    };
+    let whole = slow_read(usize::MAX, patient).await;
+    assert!(matches!(whole, Ok(7)), "{whole:?}");
+    for silent_after in [0, 40] {
+        let stalled = slow_read(silent_after, patient).await;
+        assert_eq!(kind(&stalled), "unknown", "{silent_after}");
+    }
+    let trickle = ProgressLimits {
+        min_bytes_per_second: 1 << 20,
+        ..patient
+    };
+    assert_eq!(kind(&slow_read(usize::MAX, trickle).await), "unknown");
+}
