Read everything again when changes are too large for a watch

An instance that was behind by several copies of a large configuration never got another one from the store: the answer to its watch was over the limit of 8 MiB, which counted as a lost response, and the next watch asked for the same changes and those since.

Such an answer is now told from a lost one, and everything is read again, as after a compaction, so that only the newest copy comes. The limit for a watch is 4 MiB, as three copies take longer to arrive than a read of everything.

The test failed before, 30 s after eight writes of 1 MiB between two watches: the configuration behind them did not come into force, and the log had "no response: the body exceeds the limit of 8388608 bytes".

--- a/src/entry/fleet/sync.rs
+++ b/src/entry/fleet/sync.rs
@@ -91,7 +91,7 @@
                 backoff = Backoff::new();
                 set_access(&shared, StoreAccess::Watching);
             }
-            Err(err @ (StoreError::Compacted | StoreError::Restored)) => {
+            Err(err @ (StoreError::Compacted | StoreError::TooLarge | StoreError::Restored)) => {
                 tracing::info!(cause = %err, "reading everything again");
                 // The store may refuse each watch.
                 if pending_read.is_some() || !rereads.is_reset() {
@@ -161,7 +161,9 @@
     };
     match store_client.watch(position, CONFIRM_TIMEOUT).await {
         Ok(newer) => Ok(Some(newer)),
-        Err(err @ (StoreError::Compacted | StoreError::Restored)) => Err(err),
+        Err(err @ (StoreError::Compacted | StoreError::TooLarge | StoreError::Restored)) => {
+            Err(err)
+        }
         Err(err) => {
             tracing::warn!(revision = read.revision, %err, "first read of the store not confirmed");
             Ok(None)
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -80,6 +80,8 @@
     pub bytes: usize,
     /// When the last of them arrived.
     pub last: Option<Instant>,
+    /// Whether the body exceeded the limit, so that the exchange failed.
+    pub is_too_large: bool,
 }
 
 impl ResponseProgress {
@@ -374,7 +376,11 @@
             Some(framing) => framing,
             None => Framing::UntilClose,
         };
-        let body = read_body(rx, buf, framing, req.max_response_bytes, req.memory).await?;
+        let body = read_body(rx, buf, framing, req.max_response_bytes, req.memory).await;
+        if let (Err(BodyError::TooLarge(_)), Some(progress)) = (&body, rx.progress) {
+            progress.lock().is_too_large = true;
+        }
+        let body = body?;
         let keep_alive =
             is_http11 && framing != Framing::UntilClose && !connection_lists(&headers, "close");
         return Ok((
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -37,6 +37,9 @@
 pub(crate) const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Largest response: a page of at most 1 MB, in base64 and with the fields around it.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Largest response to a watch: three copies of the largest configuration. To read
+/// everything takes less time than more of them.
+const MAX_WATCH_BYTES: usize = 4 << 20;
 
 /// Why a call to the store failed.
 #[derive(Debug, derive_more::Display)]
@@ -47,6 +50,9 @@
     /// The changes that a watch asked for are compacted; everything must be read again.
     #[display("the requested changes are compacted")]
     Compacted,
+    /// The changes that a watch asked for are too large; everything must be read again.
+    #[display("the requested changes exceed {MAX_WATCH_BYTES} bytes")]
+    TooLarge,
     /// The store was restored from a copy since the position that a watch started from.
     #[display("the store was restored from a copy")]
     Restored,
@@ -160,8 +166,10 @@
                 "/api/kv-range?prefix=&after={}{stale}",
                 percent_encode(&after)
             );
-            let Answer { era, body: page } =
-                self.get::<Page>("range", &path, self.call_timeout).await?;
+            let timeout = self.call_timeout;
+            let answer = self.get("range", &path, timeout, MAX_RESPONSE_BYTES);
+            let Answer { era, body } = answer.await?;
+            let page: Page = body;
             let (first_era, revision) = *first.get_or_insert((era, page.store_revision));
             if era != first_era {
                 return Err(StoreError::Restored);
@@ -183,7 +191,8 @@
     }
 
     /// Waits for changes after `position`; the result has none if none came within `wait`.
-    /// In a later era, the result is [`StoreError::Restored`]: the changes after that
+    /// If they are too large, the result is [`StoreError::TooLarge`]; the next watch would
+    /// bring even more. In a later era, it is [`StoreError::Restored`]: the changes after that
     /// revision are then not all that the position lacks.
     pub(crate) async fn watch(
         &mut self,
@@ -193,9 +202,13 @@
         let revision = position.revision;
         let wait_ms = wait.as_millis();
         let path = format!("/api/kv-watch?prefix=&after={revision}&wait_ms={wait_ms}");
-        let Answer { era, body: events } = self
-            .get::<Events>("watch", &path, wait + WATCH_MARGIN)
-            .await?;
+        let timeout = wait + WATCH_MARGIN;
+        let answer = self.get("watch", &path, timeout, MAX_WATCH_BYTES).await;
+        if self.progress.received().is_too_large {
+            return Err(StoreError::TooLarge);
+        }
+        let Answer { era, body } = answer?;
+        let events: Events = body;
         match era.cmp(&position.era) {
             Ordering::Equal => {}
             Ordering::Greater => return Err(StoreError::Restored),
@@ -264,9 +277,10 @@
         kind: &str,
         path: &str,
         timeout: Duration,
+        max_bytes: usize,
     ) -> Result<Answer<T>, StoreError> {
         let req = format!("GET {path} HTTP/1.1\r\nhost: {}\r\n\r\n", self.address);
-        self.call(kind, req.as_bytes(), timeout).await
+        self.call(kind, req.as_bytes(), timeout, max_bytes).await
     }
 
     async fn post<T: DeserializeOwned>(
@@ -282,7 +296,9 @@
             self.address,
             body.len()
         );
-        self.call(kind, req.as_bytes(), self.call_timeout).await
+        let timeout = self.call_timeout;
+        self.call(kind, req.as_bytes(), timeout, MAX_RESPONSE_BYTES)
+            .await
     }
 
     async fn call<T: DeserializeOwned>(
@@ -290,7 +306,9 @@
         kind: &str,
         req: &[u8],
         timeout: Duration,
+        max_bytes: usize,
     ) -> Result<Answer<T>, StoreError> {
+        self.progress.reset();
         let conn = self.conn.take().filter(Conn::is_reusable);
         let mut conn = match conn {
             Some(conn) => conn,
@@ -303,10 +321,9 @@
             bytes: req,
             body: None,
             is_head: false,
-            max_response_bytes: MAX_RESPONSE_BYTES,
+            max_response_bytes: max_bytes,
             memory: None,
         };
-        self.progress.reset();
         let timeout_end = Instant::now() + timeout;
         let deadline = || {
             let received = self.progress.received();
--- a/src/platform/prepared/store/tests.rs
+++ b/src/platform/prepared/store/tests.rs
@@ -137,6 +137,7 @@
         Ok(_) => "done",
         Err(StoreError::Refused(_)) => "refused",
         Err(StoreError::Compacted) => "gone",
+        Err(StoreError::TooLarge) => "too large",
         Err(StoreError::Restored) => "restored",
         Err(StoreError::Conflict) => "conflict",
         Err(StoreError::OutcomeUnknown(_)) => "unknown",
--- a/tests/entry_restore/mod.rs
+++ b/tests/entry_restore/mod.rs
@@ -220,3 +220,20 @@
     assert_eq!(resp.status, 503, "{resp:?}");
     assert_eq!(cluster.arrivals("after"), 0);
 }
+
+/// Copies of a large record that together exceed what a watch accepts.
+#[tokio::test]
+async fn a_run_of_changes_too_large_for_a_watch_is_read_instead() {
+    let cluster = EntryCluster::start(1, 1).await;
+    let withhold = |withhold| {
+        let faults = &cluster.store.faults;
+        faults.change(|faults| faults.silent_watches = withhold);
+    };
+    withhold(true);
+    for _ in 0..8 {
+        cluster.store.put("filler/large", &vec![0; 1 << 20]);
+    }
+    cluster.configure(9, &["/safe/", "/once/"]);
+    withhold(false);
+    cluster.wait_for_version(0, 9).await;
+}
