Keep a watch whose response is arriving, whatever peers have

When peers brought any change while the answer to the own watch was on its way, the watch was ended 700 ms later, its connection closed and what had arrived thrown away: on a narrow link, a large configuration takes longer. The instance then gave way to other watchers, for which the store was to send it all again.

The 700 ms now count from the last byte of the answer. A silent watch is ended as early as before, and the limits of the call still end a trickle.

The test failed before, with "peers have newer changes than this watch", while the answer arrived byte by byte for over a second.

--- a/src/entry/fleet/sync.rs
+++ b/src/entry/fleet/sync.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use rand::Rng;
+use tokio::time::Instant;
 
 use crate::entry::fleet::replica::{Delta, Position};
 use crate::entry::fleet::watchers::StoreAccess;
 use crate::entry::model::{Change, Registration};
 use crate::entry::settings::Tuning;
 use crate::entry::shared::Shared;
+use crate::http1::client::ResponseProgress;
 use crate::platform::prepared::record;
 use crate::platform::prepared::store::{
     ChangeSet, ReadConsistency, RejectedRecord, StoreClient, StoreError,
@@ -177,9 +179,10 @@
         let wait = watch_timeout(state.watches(), &state.tuning);
         (state.replica.position(), wait, state.tuning.batch_delay)
     };
+    let progress = store_client.progress();
     let change_set = tokio::select! {
         change_set = store_client.watch(position, wait) => change_set?,
-        () = watch_stalled(shared) => {
+        () = watch_stalled(shared, &progress) => {
             store_client.disconnect();
             return Err(StoreError::OutcomeUnknown("peers have newer changes than this watch".into()));
         }
@@ -204,13 +207,20 @@
 }
 
 /// Returns once peers have had changes for [`STALL_TIMEOUT`] that the own watch has not
-/// delivered.
-async fn watch_stalled(shared: &Shared) {
+/// delivered, and nothing of its response has arrived for as long.
+async fn watch_stalled(shared: &Shared, progress: &ResponseProgress) {
     let start = shared.state().replica.content_position();
     while shared.state().replica.content_position() == start {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    tokio::time::sleep(STALL_TIMEOUT).await;
+    let mut since = Instant::now();
+    loop {
+        tokio::time::sleep_until(since + STALL_TIMEOUT).await;
+        match progress.received().last {
+            Some(last) if last > since => since = last,
+            _ => return,
+        }
+    }
 }
 
 /// Returns once this instance should start or continue to watch.
--- a/src/entry/fleet/sync/tests.rs
+++ b/src/entry/fleet/sync/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::entry::testing::{instance_with, slow_server};
 use crate::platform::prepared::store::{RESPONSE_STALL_TIMEOUT, WATCH_MARGIN};
 
 /// Time from the store's return until a configuration must be in force everywhere: the
@@ -36,3 +37,32 @@
     assert_eq!(watch_timeout(true, &tuning), tuning.watch_timeout);
     assert!(watch_timeout(false, &tuning) < tuning.watch_timeout / 4);
 }
+
+/// A large response takes longer than the stall timeout on a narrow link.
+#[tokio::test]
+async fn a_watch_whose_response_is_arriving_is_not_stalled_by_changes_of_peers() {
+    let shared = instance_with(&[]);
+    set_access(&shared, StoreAccess::Watching);
+    let body = r#"{"events":[],"store_revision":9}"#;
+    let pause = STALL_TIMEOUT / 40;
+    let address = slow_server(body, usize::MAX, pause).await;
+    let mut store_client = StoreClient::new(address, shared.metrics.store_calls.clone());
+    let (result, ()) = tokio::join!(watch(&shared, &mut store_client), async {
+        // The watch has started: it is polled first.
+        let change = Change {
+            key: "k".into(),
+            revision: 5,
+            record: None,
+        };
+        let delta = Delta {
+            era: 0,
+            revision: 5,
+            complete: false,
+            changes: vec![change],
+        };
+        let now = shared.now();
+        shared.state().apply(now, delta, "peer");
+    });
+    assert!(result.is_ok(), "{result:?}");
+    assert_eq!(shared.state().replica.revision(), 9);
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -19,7 +19,7 @@
 mod state;
 pub(crate) mod target;
 #[cfg(test)]
-mod testing;
+pub(crate) mod testing;
 #[cfg(test)]
 mod tests;
 pub(crate) mod window;
--- a/src/entry/testing.rs
+++ b/src/entry/testing.rs
@@ -6,6 +6,8 @@
 
 use http::{HeaderName, HeaderValue};
 use standin::prepared::target::TargetStandin;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 use crate::entry::fleet::replica::Delta;
 use crate::entry::metrics::EntryMetrics;
@@ -151,3 +153,22 @@
         chunked: false,
     }
 }
+
+/// Starts a server that sends a response byte by byte, and only `sent` bytes of it.
+pub(crate) async fn slow_server(body: &str, sent: usize, pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let length = body.len();
+    let response = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream.set_nodelay(true).unwrap();
+        let _ = stream.read(&mut [0; 1024]).await;
+        for byte in response.as_bytes().iter().take(sent) {
+            let _ = stream.write_all(&[*byte]).await;
+            tokio::time::sleep(pause).await;
+        }
+        std::future::pending::<()>().await;
+    });
+    address
+}
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -130,7 +130,7 @@
     conn: Option<Conn>,
     call_timeout: Duration,
     progress_limits: ProgressLimits,
-    progress: ResponseProgress,
+    progress: Arc<ResponseProgress>,
     calls: Arc<prometheus::IntCounterVec>,
 }
 
@@ -142,7 +142,7 @@
             conn: None,
             call_timeout: CALL_TIMEOUT,
             progress_limits: PROGRESS_LIMITS,
-            progress: ResponseProgress::default(),
+            progress: Arc::default(),
             calls,
         }
     }
@@ -185,6 +185,11 @@
         }
     }
 
+    /// Progress of the response to the present call, or to the last one.
+    pub(crate) fn progress(&self) -> Arc<ResponseProgress> {
+        self.progress.clone()
+    }
+
     /// Closes the connection; the next call opens a new one.
     pub(crate) fn disconnect(&mut self) {
         self.conn = None;
--- a/src/platform/prepared/store/tests.rs
+++ b/src/platform/prepared/store/tests.rs
@@ -4,11 +4,9 @@
 use prometheus::{IntCounterVec, Opts};
 use standin::prepared::store::{Faults, Mode, StoreStandin};
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
-
 use super::*;
 use crate::entry::model::Record;
+use crate::entry::testing::slow_server;
 
 /// Wait of watches that must end with a change, and not because the time is over.
 const WAIT: Duration = Duration::from_secs(5);
@@ -214,32 +212,14 @@
 
 /// Timeout that only a hang reaches on the loopback interface.
 const HANG_TIMEOUT: Duration = Duration::from_secs(20);
-/// Timeout of calls in tests of slow responses, and the pause between two of their pieces.
+/// Timeout of calls in tests of slow responses.
 const SHORT: Duration = Duration::from_millis(100);
 
-/// Starts a store that sends an empty page byte by byte, and only `sent` bytes of it.
-async fn slow_store(sent: usize) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
-        let (mut stream, _) = listener.accept().await.unwrap();
-        stream.set_nodelay(true).unwrap();
-        let _ = stream.read(&mut [0; 1024]).await;
-        let page = r#"{"items":[],"store_revision":7}"#;
-        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", page.len());
-        for byte in (head + page).as_bytes().iter().take(sent) {
-            let _ = stream.write_all(&[*byte]).await;
-            tokio::time::sleep(SHORT / 5).await;
-        }
-        std::future::pending::<()>().await;
-    });
-    address
-}
-
-/// Result of a read from a [`slow_store`].
+/// Result of a read of an empty page of which only `sent` bytes arrive, one by one.
 async fn slow_read(sent: usize, progress_limits: ProgressLimits) -> Result<u64, StoreError> {
     let (_, mut client) = setup().await;
-    client.address = slow_store(sent).await;
+    let page = r#"{"items":[],"store_revision":7}"#;
+    client.address = slow_server(page, sent, SHORT / 5).await;
     client.call_timeout = SHORT;
     client.progress_limits = progress_limits;
     let read = client.read_all(ReadConsistency::Linearizable);
