--- a/src/entry/fleet/sync/tests.rs
+++ b/src/entry/fleet/sync/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
-use crate::entry::testing::instance_with;
-use crate::platform::prepared::store::WATCH_MARGIN;
+use crate::entry::testing::{instance_with, slow_server};
+use crate::platform::prepared::store::{RESPONSE_STALL_TIMEOUT, WATCH_MARGIN};
 
 /// Time from the store's return until a configuration must be in force everywhere: the
 /// time in which instances may lack contact, and the limit itself.
@@ -9,14 +9,15 @@
 /// Maximum time from the store's return until a watcher detects a change, if its watch
 /// was opened just before the return and stays silent.
 fn max_detection_delay(tuning: &Tuning, is_reachable: bool) -> Duration {
-    let silent = watch_timeout(is_reachable, tuning) + WATCH_MARGIN;
+    // A response that had begun may have stalled.
+    let silent = |wait: Duration| (wait + WATCH_MARGIN).max(RESPONSE_STALL_TIMEOUT);
     // The backoff is shortest after a response and longest after many failures.
     let pause = if is_reachable {
         BACKOFF_RANGE.0
     } else {
         BACKOFF_RANGE.1
     };
-    silent + pause + watch_timeout(false, tuning) + WATCH_MARGIN
+    silent(watch_timeout(is_reachable, tuning)) + pause + silent(watch_timeout(false, tuning))
 }
 
 #[test]
@@ -71,3 +72,32 @@
         assert_eq!(stored, expected, "at {revision}");
     }
 }
+
+/// A large response takes longer than the stall timeout on a narrow link.
+#[tokio::test]
+async fn a_watch_whose_response_is_arriving_is_not_stalled_by_changes_of_peers() {
+    let shared = instance_with(&[]);
+    set_access(&shared, StoreAccess::Watching);
+    let body = r#"{"events":[],"store_revision":9}"#;
+    let pause = STALL_TIMEOUT / 40;
+    let address = slow_server(body, usize::MAX, pause).await;
+    let mut store_client = StoreClient::new(address, shared.metrics.store_calls.clone());
+    let (result, ()) = tokio::join!(watch(&shared, &mut store_client), async {
+        // The watch has started: it is polled first.
+        let change = Change {
+            key: "k".into(),
+            revision: 5,
+            record: None,
+        };
+        let delta = Delta {
+            era: 0,
+            revision: 5,
+            complete: false,
+            changes: vec![change],
+        };
+        let now = shared.now();
+        shared.state().apply(now, delta, "peer");
+    });
+    assert!(result.is_ok(), "{result:?}");
+    assert_eq!(shared.state().replica.revision(), 9);
+}
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -12,19 +12,35 @@
 use serde::{Deserialize, Deserializer};
 use serde_json::json;
 use serde_json::value::RawValue;
+use tokio::time::Instant;
 
 use super::{record, wire};
 use crate::entry::fleet::replica::Position;
 use crate::entry::model::{Change, Record};
-use crate::http1::client::{Conn, ExchangeError, OutgoingRequest, Response};
+use crate::http1::client::{
+    Conn, ExchangeError, OutgoingRequest, Received, Response, ResponseProgress,
+};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Timeout for a response; a slow store takes hundreds of milliseconds.
+/// Timeout for a response; a slow store takes hundreds of milliseconds. A response that
+/// makes progress may take longer, see [`ProgressLimits`].
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time that the response to a watch may take beyond the watch's own wait.
 pub(crate) const WATCH_MARGIN: Duration = Duration::from_millis(700);
+/// Limits of a response that has not ended within its timeout.
+const PROGRESS_LIMITS: ProgressLimits = ProgressLimits {
+    stall_timeout: RESPONSE_STALL_TIMEOUT,
+    // About forty transfers that share a link of 10 Mbit/s.
+    min_bytes_per_second: 32 << 10,
+};
+/// Time without a byte after which a response that has begun is given up: that of the
+/// shortest watch.
+pub(crate) const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Largest response: a page of at most 1 MB, in base64 and with the fields around it.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Largest response to a watch: three copies of the largest configuration. To read
+/// everything takes less time than more of them.
+const MAX_WATCH_BYTES: usize = 4 << 20;
 
 /// Maximum length of the description of what is wrong with a record.
 const MAX_PROBLEM_CHARS: usize = 200;
@@ -38,15 +54,15 @@
     /// The changes that a watch asked for are compacted; everything must be read again.
     #[display("the requested changes are compacted")]
     Compacted,
+    /// The changes that a watch asked for are too large; everything must be read again.
+    #[display("the requested changes exceed {MAX_WATCH_BYTES} bytes")]
+    TooLarge,
     /// The store was restored from a copy since the position that a watch started from.
     #[display("the store was restored from a copy")]
     Restored,
     /// The key is not at the expected revision.
     #[display("the key is not at the expected revision")]
     Conflict,
-    /// The response exceeds the limit.
-    #[display("the response exceeds {MAX_RESPONSE_BYTES} bytes")]
-    TooLarge,
     /// No response; a write may have been made, or may still be made.
     #[display("no response: {_0}")]
     OutcomeUnknown(String),
@@ -92,11 +108,36 @@
     pub is_later: bool,
 }
 
+/// How long a response may take beyond its timeout while it makes progress.
+#[derive(Debug, Clone, Copy)]
+struct ProgressLimits {
+    /// Longest time without a byte.
+    stall_timeout: Duration,
+    /// Lowest rate over the whole of the time beyond the timeout.
+    min_bytes_per_second: u32,
+}
+
+impl ProgressLimits {
+    /// When a response is given up whose timeout ends at `timeout_end`.
+    fn deadline(self, timeout_end: Instant, received: Received) -> Instant {
+        let Some(last) = received.last else {
+            return timeout_end;
+        };
+        let bytes = u32::try_from(received.bytes).unwrap_or(u32::MAX);
+        let at_min_rate =
+            Duration::from_secs_f64(f64::from(bytes) / f64::from(self.min_bytes_per_second));
+        timeout_end.max((last + self.stall_timeout).min(timeout_end + at_min_rate))
+    }
+}
+
 /// Client with one connection to the store, which is opened on demand.
 #[derive(Debug)]
 pub(crate) struct StoreClient {
     address: SocketAddr,
     conn: Option<Conn>,
+    call_timeout: Duration,
+    progress_limits: ProgressLimits,
+    progress: Arc<ResponseProgress>,
     calls: Arc<prometheus::IntCounterVec>,
 }
 
@@ -106,6 +147,9 @@
         Self {
             address,
             conn: None,
+            call_timeout: CALL_TIMEOUT,
+            progress_limits: PROGRESS_LIMITS,
+            progress: Arc::default(),
             calls,
         }
     }
@@ -129,7 +173,10 @@
                 "/api/kv-range?prefix=&after={}{stale}",
                 percent_encode(&after)
             );
-            let Answer { era, body: page } = self.get::<Page>("range", &path, CALL_TIMEOUT).await?;
+            let timeout = self.call_timeout;
+            let answer = self.get("range", &path, timeout, MAX_RESPONSE_BYTES);
+            let Answer { era, body } = answer.await?;
+            let page: Page = body;
             let (first_era, revision) = *first.get_or_insert((era, page.store_revision));
             if era != first_era {
                 return Err(StoreError::Restored);
@@ -148,15 +195,19 @@
         }
     }
 
+    /// Progress of the response to the present call, or to the last one.
+    pub(crate) fn progress(&self) -> Arc<ResponseProgress> {
+        self.progress.clone()
+    }
+
     /// Closes the connection; the next call opens a new one.
     pub(crate) fn disconnect(&mut self) {
         self.conn = None;
     }
 
     /// Waits for changes after `position`; the result has none if none came within `wait`.
-    /// If they are too many for one response, the result is [`StoreError::TooLarge`], and
-    /// everything must be read again.
-    /// In a later era, the result is [`StoreError::Restored`]: the changes after that
+    /// If they are too large, the result is [`StoreError::TooLarge`]; the next watch would
+    /// bring even more. In a later era, it is [`StoreError::Restored`]: the changes after that
     /// revision are then not all that the position lacks.
     pub(crate) async fn watch(
         &mut self,
@@ -166,9 +217,10 @@
         let revision = position.revision;
         let wait_ms = wait.as_millis();
         let path = format!("/api/kv-watch?prefix=&after={revision}&wait_ms={wait_ms}");
-        let Answer { era, body: events } = self
-            .get::<Events>("watch", &path, wait + WATCH_MARGIN)
-            .await?;
+        let timeout = wait + WATCH_MARGIN;
+        let answer = self.get("watch", &path, timeout, MAX_WATCH_BYTES).await;
+        let Answer { era, body } = answer?;
+        let events: Events = body;
         match era.cmp(&position.era) {
             Ordering::Equal => {}
             Ordering::Greater => return Err(StoreError::Restored),
@@ -237,9 +289,10 @@
         kind: &str,
         path: &str,
         timeout: Duration,
+        max_bytes: usize,
     ) -> Result<Answer<T>, StoreError> {
         let req = format!("GET {path} HTTP/1.1\r\nhost: {}\r\n\r\n", self.address);
-        self.call(kind, req.as_bytes(), timeout).await
+        self.call(kind, req.as_bytes(), timeout, max_bytes).await
     }
 
     async fn post<T: DeserializeOwned>(
@@ -255,7 +308,9 @@
             self.address,
             body.len()
         );
-        self.call(kind, req.as_bytes(), CALL_TIMEOUT).await
+        let timeout = self.call_timeout;
+        self.call(kind, req.as_bytes(), timeout, MAX_RESPONSE_BYTES)
+            .await
     }
 
     async fn call<T: DeserializeOwned>(
@@ -263,7 +318,9 @@
         kind: &str,
         req: &[u8],
         timeout: Duration,
+        max_bytes: usize,
     ) -> Result<Answer<T>, StoreError> {
+        self.progress.reset();
         let conn = self.conn.take().filter(Conn::is_reusable);
         let mut conn = match conn {
             Some(conn) => conn,
@@ -276,15 +333,22 @@
             bytes: req,
             body: None,
             is_head: false,
-            max_response_bytes: MAX_RESPONSE_BYTES,
+            max_response_bytes: max_bytes,
             memory: None,
         };
-        let resp = match tokio::time::timeout(timeout, conn.exchange(&outgoing, |_| true)).await {
-            Ok(Ok(resp)) => resp,
-            Ok(Err(ExchangeError::TooLarge(_))) => return Err(StoreError::TooLarge),
-            Ok(Err(err)) => return Err(StoreError::OutcomeUnknown(err.to_string())),
-            Err(_) => return Err(StoreError::OutcomeUnknown("timed out".into())),
+        let timeout_end = Instant::now() + timeout;
+        let deadline = || {
+            let received = self.progress.received();
+            self.progress_limits.deadline(timeout_end, received)
         };
+        let exchange = conn.exchange_observed(&outgoing, |_| true, Some(&self.progress));
+        let resp = complete_by(deadline, exchange)
+            .await
+            .ok_or_else(|| StoreError::OutcomeUnknown("timed out".into()))?
+            .map_err(|err| match err {
+                ExchangeError::TooLarge(_) => StoreError::TooLarge,
+                err => StoreError::OutcomeUnknown(err.to_string()),
+            })?;
         self.conn = Some(conn);
         Ok(Answer {
             era: wire::store_era(&resp.headers),
@@ -293,6 +357,22 @@
     }
 }
 
+/// Result of `task`; `None` once a deadline that may be extended has passed.
+async fn complete_by<T>(
+    deadline: impl Fn() -> Instant,
+    task: impl Future<Output = T>,
+) -> Option<T> {
+    tokio::pin!(task);
+    loop {
+        let until = deadline();
+        match tokio::time::timeout_at(until, &mut task).await {
+            Ok(result) => return Some(result),
+            Err(_) if deadline() <= until => return None,
+            Err(_) => {}
+        }
+    }
+}
+
 /// Body of a response of the store, with its era.
 struct Answer<T> {
     era: u64,
--- a/src/platform/prepared/store/tests.rs
+++ b/src/platform/prepared/store/tests.rs
@@ -8,6 +8,7 @@
 
 use super::*;
 use crate::entry::model::Record;
+use crate::entry::testing::slow_server;
 
 /// Wait of watches that must end with a change, and not because the time is over.
 const WAIT: Duration = Duration::from_secs(5);
@@ -242,10 +243,10 @@
         Ok(_) => "done",
         Err(StoreError::Refused(_)) => "refused",
         Err(StoreError::Compacted) => "gone",
+        Err(StoreError::TooLarge) => "too large",
         Err(StoreError::Restored) => "restored",
         Err(StoreError::Conflict) => "conflict",
         Err(StoreError::OutcomeUnknown(_)) => "unknown",
-        Err(StoreError::TooLarge) => "too large",
         Err(StoreError::Malformed(_)) => "malformed",
     }
 }
@@ -316,3 +317,40 @@
     let result = client.watch(start, WAIT).await;
     assert!(matches!(result, Err(StoreError::Restored)), "{result:?}");
 }
+
+/// Timeout that only a hang reaches on the loopback interface.
+const HANG_TIMEOUT: Duration = Duration::from_secs(20);
+/// Timeout of calls in tests of slow responses.
+const SHORT: Duration = Duration::from_millis(100);
+
+/// Result of a read of an empty page of which only `sent` bytes arrive, one by one.
+async fn slow_read(sent: usize, progress_limits: ProgressLimits) -> Result<u64, StoreError> {
+    let (_, mut client) = setup().await;
+    let page = r#"{"items":[],"store_revision":7}"#;
+    client.address = slow_server(page, sent, SHORT / 5).await;
+    client.call_timeout = SHORT;
+    client.progress_limits = progress_limits;
+    let read = client.read_all(ReadConsistency::Linearizable);
+    let read = tokio::time::timeout(HANG_TIMEOUT, read).await;
+    read.expect("given up or complete").map(|set| set.revision)
+}
+
+/// A large page takes longer than the timeout of a call on a narrow link.
+#[tokio::test]
+async fn a_response_is_given_up_when_it_stalls_or_trickles_but_not_while_it_makes_progress() {
+    let patient = ProgressLimits {
+        stall_timeout: SHORT * 10,
+        min_bytes_per_second: 1,
+    };
+    let whole = slow_read(usize::MAX, patient).await;
+    assert!(matches!(whole, Ok(7)), "{whole:?}");
+    for silent_after in [0, 40] {
+        let stalled = slow_read(silent_after, patient).await;
+        assert_eq!(kind(&stalled), "unknown", "{silent_after}");
+    }
+    let trickle = ProgressLimits {
+        min_bytes_per_second: 1 << 20,
+        ..patient
+    };
+    assert_eq!(kind(&slow_read(usize::MAX, trickle).await), "unknown");
+}
