Count services and accounts among the rows of a configuration

A configuration with few routes and thousands of accounts counted as a small response, which has no limit of copies at a time. Found in review.

--- a/src/entry/fleet/replica.rs
+++ b/src/entry/fleet/replica.rs
@@ -162,13 +162,16 @@
     }
 
     /// Number of rows among the records that a peer at `position` lacks; a configuration has
-    /// one for each route.
+    /// one for each route, service and account.
     #[must_use]
     pub fn rows_since(&self, position: Position) -> usize {
         let (_, from) = self.delta_start(position);
         let entries = self.entries.values().filter(|entry| entry.revision > from);
         let rows = entries.map(|entry| match &entry.record {
-            Record::Configuration(configuration) => configuration.routes.len(),
+            Record::Configuration(configuration) => {
+                let accounts = configuration.accounts.as_ref().map_or(0, Vec::len);
+                configuration.routes.len() + configuration.services.len() + accounts
+            }
             _ => 1,
         });
         rows.sum()
