Keep each avoided peer once

A peer was added at each failure until a fetch succeeded, and busy peers were never dropped: with no peer that answers, the lists grew by twenty a second. Found in review.

--- a/src/entry/fleet/source.rs
+++ b/src/entry/fleet/source.rs
@@ -34,12 +34,16 @@
 impl Avoided {
     /// Records that a fetch from a peer failed.
     pub(crate) fn record_failure(&mut self, peer: SocketAddr) {
-        self.failed.push(peer);
+        if !self.failed.contains(&peer) {
+            self.failed.push(peer);
+        }
     }
 
     /// Records that a peer sends to as many others as it may.
     pub(crate) fn record_busy(&mut self, now: Time, peer: SocketAddr) {
-        self.busy.retain(|(known, _)| *known != peer);
+        let is_recent = |at| now.since(at) < BUSY_TIME;
+        self.busy
+            .retain(|(known, at)| *known != peer && is_recent(*at));
         self.busy.push((peer, now));
     }
 
