Start a second fetch of changes beside a slow one

A source that sends slowly kept an instance from the changes that others had, for seconds or, for a large frame, minutes: the time that a transfer has grew with its size, and one fetch ran at a time. Targets that leave and evacuations waited with it.

A fetch whose changes arrived on another way is given up. A request of a peer has 64 bytes at most.

--- a/src/entry/fleet/changes.rs
+++ b/src/entry/fleet/changes.rs
@@ -2,10 +2,13 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use rand::Rng;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -30,6 +33,12 @@
 const MAX_LARGE_TRANSFERS: usize = 2;
 /// Rows from which a response is large, some tens of kilobytes.
 const LARGE_ROWS: usize = 512;
+/// Fetches that run at a time: a second one starts beside one that is slow.
+const MAX_FETCHES: usize = 2;
+/// Time after which a fetch is slow.
+const SLOW_FETCH: Duration = STALL_TIMEOUT;
+/// Largest request of a peer, in bytes.
+const MAX_REQUEST_BYTES: usize = 64;
 /// Time to wait for the own watch or a peer in the same zone before a peer in another
 /// zone is asked for changes, since traffic between zones is expensive.
 const OTHER_ZONE_DELAY: Duration = Duration::from_millis(150);
@@ -56,7 +65,7 @@
     mut stream: TcpStream,
     large_transfers: &Semaphore,
 ) -> std::io::Result<()> {
-    let bytes = read_frame(&mut stream).await?;
+    let bytes = read_frame(&mut stream, MAX_REQUEST_BYTES).await?;
     let position = message::decode_request(&bytes).map_err(std::io::Error::other)?;
     if shared.state().replica.rows_since(position) < LARGE_ROWS {
         let delta = shared.state().replica.delta_since(position);
@@ -74,22 +83,90 @@
         .map_or(Ok(()), |_| Ok(()))
 }
 
+/// A fetch that has ended.
+struct Fetched {
+    source: Source,
+    from: Position,
+    started: Time,
+    /// The changes; `None` if the source was busy.
+    result: std::io::Result<Option<Delta>>,
+}
+
+/// The fetches that run.
+#[derive(Default)]
+struct Fetches {
+    running: FuturesUnordered<Pin<Box<dyn Future<Output = Fetched> + Send>>>,
+    asked: Vec<(SocketAddr, Time)>,
+}
+
+impl Fetches {
+    /// Whether another fetch may start: none runs, or one that is slow.
+    fn may_start(&self, now: Time) -> bool {
+        let is_slow = |(_, started): &(_, Time)| now.since(*started) >= SLOW_FETCH;
+        self.asked.len() < MAX_FETCHES && self.asked.iter().all(is_slow)
+    }
+
+    fn is_asked(&self, peer: SocketAddr) -> bool {
+        self.asked.iter().any(|(known, _)| *known == peer)
+    }
+
+    fn start(&mut self, source: Source, from: Position, started: Time) {
+        self.asked.push((source.address, started));
+        self.running.push(Box::pin(async move {
+            Fetched {
+                source,
+                from,
+                started,
+                result: fetch_changes(source.address, from).await,
+            }
+        }));
+    }
+
+    async fn next(&mut self) -> Option<Fetched> {
+        let fetched = self.running.next().await?;
+        let peer = fetched.source.address;
+        self.asked.retain(|(known, _)| *known != peer);
+        Some(fetched)
+    }
+
+    /// Gives up all of them.
+    fn clear(&mut self) {
+        self.running.clear();
+        self.asked.clear();
+    }
+}
+
 /// Fetches changes from peers that have newer ones, until the process ends.
 pub(crate) async fn pull_changes(shared: Arc<Shared>) {
     let interval = shared.state().tuning.heartbeat_interval;
     let mut behind_since: Option<Time> = None;
     let mut avoided = Avoided::default();
+    let mut fetches = Fetches::default();
     loop {
-        tokio::time::sleep(interval / 2).await;
+        tokio::select! {
+            Some(ended) = fetches.next() => {
+                if finish(&shared, &mut avoided, ended) {
+                    fetches.clear();
+                }
+                continue;
+            }
+            () = tokio::time::sleep(interval / 2) => {}
+        }
         let now = shared.now();
-        let sources = sources(&shared, now);
+        let mut sources = sources(&shared, now);
         if sources.is_empty() {
             behind_since = None;
             avoided.forget_failures();
+            fetches.clear();
             continue;
         }
         let waited = now.since(*behind_since.get_or_insert(now));
-        let Some(source) = source::choose(now, &sources, &avoided, rand::rng().random()) else {
+        if !fetches.may_start(now) {
+            continue;
+        }
+        sources.retain(|source| !fetches.is_asked(source.address));
+        let draw = rand::rng().random();
+        let Some(source) = source::choose(now, &sources, &avoided, draw) else {
             continue;
         };
         if waited < OTHER_ZONE_DELAY
@@ -97,33 +174,39 @@
         {
             continue;
         }
-        let (peer, from) = (source.address, fetch_position(&shared, source));
-        let started = now;
-        let fetched = fetch_changes(peer, from).await;
-        let now = shared.now();
-        match fetched {
-            Ok(Some(delta)) => {
-                shared.metrics.record_fetch("fetched");
-                shared.state().apply(now, delta, "peer");
-                shared.capacity_freed.notify_waiters();
-                avoided.forget_failures();
-            }
-            Ok(None) => {
-                shared.metrics.record_fetch("busy");
-                avoided.record_busy(now, peer);
-            }
-            Err(err) => {
-                shared.metrics.record_fetch("failed");
-                tracing::info!(
-                    %peer,
-                    revision = from.revision,
-                    peer_version = source.version,
-                    took_ms = now.since(started).as_millis(),
-                    %err,
-                    "failed to fetch changes from a peer"
-                );
-                avoided.record_failure(peer);
-            }
+        fetches.start(*source, fetch_position(&shared, source), now);
+    }
+}
+
+/// Applies what was fetched, or avoids its source; returns whether there were changes.
+fn finish(shared: &Shared, avoided: &mut Avoided, fetched: Fetched) -> bool {
+    let now = shared.now();
+    let peer = fetched.source.address;
+    match fetched.result {
+        Ok(Some(delta)) => {
+            shared.metrics.record_fetch("fetched");
+            shared.state().apply(now, delta, "peer");
+            shared.capacity_freed.notify_waiters();
+            avoided.forget_failures();
+            true
+        }
+        Ok(None) => {
+            shared.metrics.record_fetch("busy");
+            avoided.record_busy(now, peer);
+            false
+        }
+        Err(err) => {
+            shared.metrics.record_fetch("failed");
+            tracing::info!(
+                %peer,
+                revision = fetched.from.revision,
+                peer_version = fetched.source.version,
+                took_ms = now.since(fetched.started).as_millis(),
+                %err,
+                "failed to fetch changes from a peer"
+            );
+            avoided.record_failure(peer);
+            false
         }
     }
 }
@@ -160,7 +243,7 @@
 async fn fetch_changes(peer: SocketAddr, from: Position) -> std::io::Result<Option<Delta>> {
     let mut stream = with_progress(TcpStream::connect(peer)).await?;
     write_frame(&mut stream, message::encode_request(from)).await?;
-    let bytes = read_frame(&mut stream).await?;
+    let bytes = read_frame(&mut stream, MAX_FRAME).await?;
     message::decode_response(&bytes).map_err(std::io::Error::other)
 }
 
@@ -180,10 +263,10 @@
     within_time_for(length, writing).await
 }
 
-async fn read_frame(stream: &mut TcpStream) -> std::io::Result<Vec<u8>> {
+async fn read_frame(stream: &mut TcpStream, max: usize) -> std::io::Result<Vec<u8>> {
     let frame_length = with_progress(stream.read_u32()).await?;
     let length = usize::try_from(frame_length).map_err(std::io::Error::other)?;
-    if length > MAX_FRAME {
+    if length > max {
         return Err(std::io::Error::other("frame exceeds the maximum size"));
     }
     let reading = async {
--- a/src/entry/fleet/changes/tests.rs
+++ b/src/entry/fleet/changes/tests.rs
@@ -10,13 +10,13 @@
 /// Pause between the parts of a response that arrives slowly.
 const PART_PAUSE: Duration = Duration::from_millis(300);
 
-/// Tells an instance of a peer that has the newer configuration.
-fn receive_heartbeat_of(peer: SocketAddr, shared: &Shared) {
+/// Tells an instance of a peer that has the newer configuration at this revision.
+fn receive_heartbeat_of(peer: SocketAddr, revision: u64, shared: &Shared) {
     let heartbeat = Heartbeat {
         zone: "a".into(),
         status: InstanceStatus {
             version: VERSION,
-            revision: 100,
+            revision,
             ..InstanceStatus::default()
         },
         reports: Vec::new(),
@@ -31,9 +31,9 @@
 }
 
 /// Keeps a peer live that has the newer configuration.
-async fn send_heartbeats_of(peer: SocketAddr, shared: Arc<Shared>) {
+async fn send_heartbeats_of(peer: SocketAddr, revision: u64, shared: Arc<Shared>) {
     loop {
-        receive_heartbeat_of(peer, &shared);
+        receive_heartbeat_of(peer, revision, &shared);
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
@@ -87,7 +87,7 @@
         drop(connection);
     });
     for peer in peers {
-        tokio::spawn(send_heartbeats_of(peer, shared.clone()));
+        tokio::spawn(send_heartbeats_of(peer, 100, shared.clone()));
     }
     tokio::spawn(pull_changes(shared.clone()));
     has_newer_configuration(&shared).await;
@@ -102,7 +102,7 @@
         .map(|_| {
             let shared = instance_with(&[]);
             for peer in &peers {
-                receive_heartbeat_of(*peer, &shared);
+                receive_heartbeat_of(*peer, 100, &shared);
             }
             let now = shared.now();
             let avoided = Avoided::default();
@@ -123,13 +123,13 @@
     let peer = listener.local_addr().unwrap();
     let shared = instance_with(&[]);
     let response = message::encode_response(newer_configuration(&shared, 100)).unwrap();
-    tokio::spawn(send_heartbeats_of(peer, shared.clone()));
+    tokio::spawn(send_heartbeats_of(peer, 100, shared.clone()));
     tokio::spawn(async move {
         loop {
             let (mut stream, _) = listener.accept().await.unwrap();
             let response = response.clone();
             tokio::spawn(async move {
-                read_frame(&mut stream).await?;
+                read_frame(&mut stream, MAX_REQUEST_BYTES).await?;
                 stream
                     .write_u32(u32::try_from(response.len()).unwrap())
                     .await?;
@@ -144,3 +144,56 @@
     tokio::spawn(pull_changes(shared.clone()));
     has_newer_configuration(&shared).await;
 }
+
+/// The peer with the newest changes sends them byte by byte.
+#[tokio::test]
+async fn a_slow_peer_delays_the_changes_that_others_have() {
+    let slow = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let serving = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (newer, shared) = (instance_with(&[]), instance_with(&[]));
+    for (listener, revision) in [(&slow, 101), (&serving, 100)] {
+        let peer = listener.local_addr().unwrap();
+        tokio::spawn(send_heartbeats_of(peer, revision, shared.clone()));
+    }
+    let delta = newer_configuration(&newer, 1);
+    newer.state().apply(newer.now(), delta, "store");
+    tokio::spawn(serve_requests(newer, serving));
+    tokio::spawn(async move {
+        let (mut stream, _) = slow.accept().await.unwrap();
+        read_frame(&mut stream, MAX_REQUEST_BYTES).await?;
+        stream.write_u32(8 << 20).await?;
+        loop {
+            stream.write_u8(0).await?;
+            tokio::time::sleep(PART_PAUSE).await;
+        }
+        #[expect(unreachable_code, reason = "the type of the errors")]
+        Ok::<_, std::io::Error>(())
+    });
+    tokio::spawn(pull_changes(shared.clone()));
+    has_newer_configuration(&shared).await;
+}
+
+#[tokio::test]
+async fn a_peer_sends_large_changes_to_few_at_a_time_and_turns_others_away() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    let newer = instance_with(&[]);
+    let delta = newer_configuration(&newer, LARGE_ROWS);
+    newer.state().apply(newer.now(), delta, "store");
+    tokio::spawn(serve_requests(newer, listener));
+    let mut open = Vec::new();
+    for _ in 0..MAX_LARGE_TRANSFERS {
+        let mut stream = TcpStream::connect(peer).await.unwrap();
+        let request = message::encode_request(Position::default());
+        write_frame(&mut stream, request).await.unwrap();
+        // The transfer lasts until the connection is closed.
+        read_frame(&mut stream, MAX_FRAME).await.unwrap();
+        open.push(stream);
+    }
+    let fetch = || fetch_changes(peer, Position::default());
+    assert_eq!(fetch().await.unwrap(), None);
+    open.clear();
+    let fetching = async { while fetch().await.unwrap().is_none() {} };
+    let freed = tokio::time::timeout(Duration::from_secs(30), fetching).await;
+    assert!(freed.is_ok());
+}
