Wait for what a prober with an old view sends to a limited target

A target that names a limit could get more requests in 4 s than the rule allows while its prober changed: 7 at 0.2 a second, where 6.2 are allowed.

An instance may learn 1.5 s later than another that the prober has changed. The new prober waited 4.3 s from its own view of the change, so the earlier one's last requests could still be in the window when it sent its half; the check of a third exceeded the rule. At limits near 0, the checks that each new prober sent at once exceeded it too.

A new prober now sends nothing for 1.5 s, when the earlier one has stopped, and no request for another 4.3 s. So any window has requests of one instance and at most three checks of others, which the rule allows at every limit while the prober changes 1.5 s apart.

a_new_prober_waits_for_what_a_prober_with_an_old_view_sent and checks_of_many_new_probers_keep_the_lowest_limit failed before ("assertion failed: !exceeds_rule_with(..)").

--- a/src/entry/target/target_limit.rs
+++ b/src/entry/target/target_limit.rs
@@ -21,6 +21,8 @@
 /// Fraction of what the rule allows that the prober uses. The rest allows for two probers
 /// while views of the members differ.
 const PROBER_FRACTION: f64 = 0.5;
+/// Time by which an instance may learn later than another that the prober has changed.
+const VIEW_LAG: Duration = Duration::from_millis(1500);
 /// Minimum time between two health checks of a limited target.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which a limit holds that no instance has confirmed.
@@ -131,7 +133,8 @@
     }
 
     /// Whether a health check may be sent now; records it if so. Checks of a limited target
-    /// take at most half of the allowance.
+    /// take at most half of the allowance. A new prober sends none while an earlier one may
+    /// still send, and then one until it is settled.
     pub fn try_check(&mut self, now: Time) -> bool {
         if let Some(per_second) = self.per_second(now) {
             let is_due = self
@@ -142,7 +145,7 @@
             } else {
                 1
             };
-            if !is_due || self.prober_since.is_none() || self.sent(now) >= max {
+            if !is_due || !self.is_prober_for(now, VIEW_LAG) || self.sent(now) >= max {
                 return false;
             }
         }
@@ -152,10 +155,14 @@
     }
 
     /// Whether this instance has been the prober for so long that what an earlier one sent
-    /// has left the window.
+    /// has left the window, even if that one learned of the change late.
     fn is_settled(&self, now: Time) -> bool {
+        self.is_prober_for(now, VIEW_LAG + LIMIT_WINDOW)
+    }
+
+    fn is_prober_for(&self, now: Time, time: Duration) -> bool {
         self.prober_since
-            .is_some_and(|since| now.since(since) >= LIMIT_WINDOW)
+            .is_some_and(|since| now.since(since) >= time)
     }
 }
 
