Let the soak's configuration grow and shrink by 600 routes

Every third version has them, so that configurations are large responses between instances during kills, pauses, impaired links and restores.

--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -16,6 +16,9 @@
 use crate::plan::TargetFault;
 use crate::proxy::Proxy;
 
+/// Routes that no caller uses, in every third version of the configuration: enough to make
+/// it a large response between instances.
+const SPARE_ROUTES: usize = 600;
 /// Timeout of the routes, in milliseconds; longer than the callers' deadline.
 const ROUTE_TIMEOUT_MS: u64 = 3000;
 /// Processing time of a request.
@@ -149,9 +152,19 @@
         };
         let rotating = [self.version, self.version + 1];
         let rotating = rotating.map(|number| rotating_key(ROTATING_ACCOUNT, number));
+        let spare_count = if self.version.is_multiple_of(3) {
+            SPARE_ROUTES
+        } else {
+            0
+        };
+        let spare: Vec<String> = (0..spare_count)
+            .map(|number| format!("/spare-{number}/"))
+            .collect();
+        let mut prefixes = vec!["/safe/", "/once/", "/upload/"];
+        prefixes.extend(spare.iter().map(String::as_str));
         let text = configuration_with_accounts(
             self.version,
-            &["/safe/", "/once/", "/upload/"],
+            &prefixes,
             ROUTE_TIMEOUT_MS,
             &[
                 account(STEADY_ACCOUNT, &[lasting_key(STEADY_ACCOUNT)]),
