Part the admission of requests from their forwarding

forward.rs also found a request's route, service and account, and rejected and logged what is denied before that, in two log functions that were alike. Both are in admission.rs now, the log lines as before. Code is moved otherwise.

--- a/src/entry/request/forward/tests.rs
+++ b/src/entry/request/forward/tests.rs
@@ -1,14 +1,18 @@
+use http::HeaderMap;
 use standin::prepared::target::{Behaviour, TargetStandin};
 
 use super::*;
-use crate::account::{AccountTable, KeyDigest};
+use crate::account::{Account, AccountTable, KeyDigest};
 use crate::dispatch::quarantine::CrashId;
 use crate::entry::fleet::members::InstanceStatus;
 use crate::entry::fleet::message::RelayedStatus;
+use crate::entry::request::admission::reject;
+use crate::entry::request::wait_queue::Flow;
 use crate::entry::target::load::Load;
 use crate::entry::testing::{instance, request};
-use crate::http1::rejection::RejectReason;
+use crate::http1::rejection::{RejectReason, Rejection};
 use crate::http1::request_body::{BodyMemory, RequestBody};
+use crate::names::ServiceName;
 
 /// Path of a request that is found to crash targets while it is handled.
 const PATH: &str = "/x";
--- a/src/entry/request/mod.rs
+++ b/src/entry/request/mod.rs
@@ -1,5 +1,6 @@
 //! The way of one request: its route, its wait for capacity, its attempts and its outcome.
 
+pub(super) mod admission;
 pub(super) mod attempt;
 pub(super) mod fingerprint;
 pub(super) mod forward;
--- a/src/entry/request/outbound.rs
+++ b/src/entry/request/outbound.rs
@@ -5,7 +5,7 @@
 
 use bytes::BytesMut;
 
-use crate::entry::request::forward::AdmittedRequest;
+use crate::entry::request::admission::AdmittedRequest;
 use crate::http1::request_body::RequestBody;
 use crate::http1::server::Request;
 use crate::http1::write_headers;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -14,7 +14,7 @@
 
 use crate::entry::fleet::{changes, peers, sync};
 use crate::entry::metrics::EntryMetrics;
-use crate::entry::request::forward;
+use crate::entry::request::{admission, forward};
 use crate::entry::rollout::holder;
 use crate::entry::settings::{EntrySettings, Tuning};
 use crate::entry::shared::Shared;
@@ -178,9 +178,9 @@
         handler: move |req: Request, _| forward::serve(handler_shared.clone(), req),
         body_memory: shared.body_memory.clone(),
         may_run_ahead: Box::new(move |target, headers| {
-            forward::may_run_ahead(&ahead_shared, target, headers)
+            admission::may_run_ahead(&ahead_shared, target, headers)
         }),
-        rejected: Box::new(move |rejection| forward::reject(&rejected_shared, rejection)),
+        rejected: Box::new(move |rejection| admission::reject(&rejected_shared, rejection)),
         limits: Box::new(move || {
             let limits = limits_shared.state().caller_limits();
             RequestLimits {
