Part the decoding of records by kind

record.rs had the tables of the configuration, the records of roll-outs, targets, instances and the keys of all. The first two are modules of their own.

--- a/src/platform/prepared/record/tests.rs
+++ b/src/platform/prepared/record/tests.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 use crate::account::{Account, AccountLimit, KeyDigest};
+use crate::entry::model::UnknownKind;
+use crate::rollout::{RolloutDecision, RolloutOrder, Stage};
 
 const CONFIGURATION_TEXT: &str = r#"{
     "version": "r7", "base_version": "r5",
