--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -1,22 +1,23 @@
 //! Client of the platform's key-value store.
 
+mod changes;
+
 use std::cmp::Ordering;
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use base64::{DecodeError, Engine};
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Deserializer};
 use serde_json::json;
-use serde_json::value::RawValue;
 use tokio::time::Instant;
 
-use super::{record, wire};
+pub(crate) use self::changes::{ChangeSet, RejectedRecord};
+use self::changes::{Events, Page};
+use super::wire;
 use crate::entry::fleet::replica::Position;
-use crate::entry::model::{Change, Record};
 use crate::http1::client::{
     Conn, ExchangeError, OutgoingRequest, Received, Response, ResponseProgress,
 };
@@ -42,9 +43,6 @@
 /// everything takes less time than more of them.
 const MAX_WATCH_BYTES: usize = 4 << 20;
 
-/// Maximum length of the description of what is wrong with a record.
-const MAX_PROBLEM_CHARS: usize = 200;
-
 /// Why a call to the store failed.
 #[derive(Debug, derive_more::Display)]
 pub(crate) enum StoreError {
@@ -81,33 +79,6 @@
     Stale,
 }
 
-/// Result of a read or a watch.
-#[derive(Debug)]
-pub(crate) struct ChangeSet {
-    /// Records and removals; those of a watch are ordered by revision.
-    pub changes: Vec<Change>,
-    /// Number of times that the store was restored from a copy.
-    pub era: u64,
-    /// Store revision of the result, from which the next watch starts.
-    pub revision: u64,
-    /// Records that can't be decoded.
-    pub rejected: Vec<RejectedRecord>,
-}
-
-/// A record that can't be decoded.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
-pub(crate) struct RejectedRecord {
-    /// Its key.
-    pub key: Arc<str>,
-    /// Revision at which it was written.
-    pub revision: u64,
-    /// What is wrong with it.
-    pub problem: String,
-    /// Whether it may be a valid one of a later release.
-    #[serde(skip)]
-    pub is_later: bool,
-}
-
 /// How long a response may take beyond its timeout while it makes progress.
 #[derive(Debug, Clone, Copy)]
 struct ProgressLimits {
@@ -392,125 +363,6 @@
     }
 }
 
-#[derive(Deserialize)]
-struct Page {
-    #[serde(deserialize_with = "deserialize_items")]
-    items: Vec<Item>,
-    #[serde(default)]
-    more_pages: bool,
-    store_revision: u64,
-}
-
-#[derive(Deserialize)]
-struct Events {
-    #[serde(deserialize_with = "deserialize_items")]
-    events: Vec<Item>,
-    store_revision: u64,
-}
-
-#[derive(Deserialize)]
-struct Item {
-    key: String,
-    #[serde(default)]
-    value: Option<String>,
-    rev: u64,
-    #[serde(default)]
-    removed: bool,
-    /// Why it can't be read, if so. The key is then empty and the revision 0 unless these can.
-    #[serde(skip)]
-    problem: Option<String>,
-}
-
-/// Reads each item on its own, so that one that can't be read does not end the read or the
-/// watch of all others.
-fn deserialize_items<'de, D: Deserializer<'de>>(de: D) -> Result<Vec<Item>, D::Error> {
-    let items = Vec::<&'de RawValue>::deserialize(de)?;
-    Ok(items.into_iter().map(Item::read).collect())
-}
-
-impl ChangeSet {
-    /// Decodes items; keys that entry instances don't use are left out.
-    fn decode(items: Vec<Item>, era: u64, revision: u64) -> Self {
-        let mut set = Self {
-            changes: Vec::with_capacity(items.len()),
-            era,
-            revision,
-            rejected: Vec::new(),
-        };
-        for item in items {
-            set.add(item);
-        }
-        set
-    }
-
-    fn add(&mut self, item: Item) {
-        let decoded = if item.removed {
-            Ok(None)
-        } else {
-            match item.decode() {
-                Ok(None) => return,
-                decoded => decoded,
-            }
-        };
-        let is_later = decoded.is_err() && item.is_of_later_release();
-        let key: Arc<str> = item.key.into();
-        let is_kept = decoded.is_err() && (record::is_configuration(&key) || item.rev == 0);
-        if let Err(problem) = &decoded {
-            self.rejected.push(RejectedRecord {
-                key: key.clone(),
-                revision: item.rev,
-                problem: problem.chars().take(MAX_PROBLEM_CHARS).collect(),
-                is_later,
-            });
-        }
-        if !is_kept {
-            self.changes.push(Change {
-                key,
-                revision: item.rev,
-                record: decoded.unwrap_or_default(),
-            });
-        }
-    }
-}
-
-impl Item {
-    fn read(raw: &RawValue) -> Self {
-        #[derive(Deserialize)]
-        struct Key {
-            key: String,
-        }
-        #[derive(Deserialize)]
-        struct Revision {
-            rev: u64,
-        }
-        let text = raw.get();
-        serde_json::from_str(text).unwrap_or_else(|err| Self {
-            key: serde_json::from_str(text).map_or_else(|_| String::new(), |Key { key }| key),
-            value: None,
-            rev: serde_json::from_str(text).map_or(0, |Revision { rev }| rev),
-            removed: false,
-            problem: Some(err.to_string()),
-        })
-    }
-
-    fn decode(&self) -> Result<Option<Record>, String> {
-        if let Some(problem) = &self.problem {
-            return Err(problem.clone());
-        }
-        let value = self.value().map_err(|err| err.to_string())?;
-        record::decode(&self.key, &value)
-    }
-
-    fn is_of_later_release(&self) -> bool {
-        let value = self.value();
-        value.is_ok_and(|value| record::is_of_later_release(&self.key, &value))
-    }
-
-    fn value(&self) -> Result<Vec<u8>, DecodeError> {
-        STANDARD.decode(self.value.as_deref().unwrap_or_default())
-    }
-}
-
 /// Percent-encodes a value for use in a query string.
 fn percent_encode(text: &str) -> String {
     let mut out = String::with_capacity(text.len());
--- a/src/platform/prepared/store/tests.rs
+++ b/src/platform/prepared/store/tests.rs
@@ -6,6 +6,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
+use super::changes::MAX_PROBLEM_CHARS;
 use super::*;
 use crate::entry::model::Record;
 use crate::entry::testing::slow_server;
