Part a client's connection from the serving of its requests

server.rs had what a handler sees, the order in which requests are run and answered, and the reading of heads from a connection. The last is connection.rs now.

--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod body;
 pub(crate) mod client;
+mod connection;
 mod head;
 mod incoming;
 mod pipeline;
