--- a/tests/config.rs
+++ b/tests/engine/config.rs
@@ -1,10 +1,8 @@
 //! The configuration under store faults, concurrent changes and restarts.
 
-mod common;
-
 use std::net::SocketAddr;
 
-use common::{
+use crate::common::{
     HttpClient, HttpResponse, Instance, WAIT_LIMIT, basic_resources, eventually, request, service,
     start_instance, start_instance_with,
 };
--- a/tests/keyed.rs
+++ b/tests/engine/keyed.rs
@@ -1,8 +1,6 @@
 //! Calls with an idempotency key through two instances, with store and target faults.
 
-mod common;
-
-use common::{
+use crate::common::{
     HttpClient, HttpResponse, Instance, basic_resources, eventually, group, request, service,
     start_instance_with,
 };
--- a/tests/keys.rs
+++ b/tests/engine/keys.rs
@@ -1,8 +1,6 @@
 //! Authentication of operators, peers and callers by their keys.
 
-mod common;
-
-use common::{
+use crate::common::{
     HttpClient, basic_resources, eventually, group, request, service, start_instance_with,
 };
 use http::{Method, header};
--- a/tests/log.rs
+++ b/tests/engine/log.rs
@@ -1,11 +1,9 @@
 //! Fields and level of the log of a real instance.
 
-mod common;
-
 use std::io::{BufRead, BufReader};
 use std::process::{Child, Command, Stdio};
 
-use common::{HttpClient, request};
+use crate::common::{HttpClient, request};
 use http::Method;
 use serde_json::{Value, json};
 use wagtailsaddle::server::Announcement;
--- a/tests/membership.rs
+++ b/tests/engine/membership.rs
@@ -1,11 +1,9 @@
 //! Rate of store calls that membership makes, counted at the stand-in store.
 
-mod common;
-
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use common::{
+use crate::common::{
     HttpClient, Instance, basic_resources, eventually, group, service, start_instance_with,
 };
 use serde_json::json;
--- a/tests/outcome.rs
+++ b/tests/engine/outcome.rs
@@ -1,10 +1,8 @@
 //! Outcomes of calls whose targets fail: the reported outcome, and how often the call ran.
 
-mod common;
-
 use std::time::Duration;
 
-use common::{
+use crate::common::{
     HttpClient, HttpResponse, Instance, basic_resources, eventually, group, request, service,
     start_instance_with,
 };
--- a/tests/path.rs
+++ b/tests/engine/path.rs
@@ -1,8 +1,6 @@
 //! One call served end to end through two instances as real processes.
 
-mod common;
-
-use common::{
+use crate::common::{
     HttpClient, basic_resources, eventually, group, service, start_instance, wait_for_claims,
 };
 use standin::platform::Platform;
--- a/tests/probes.rs
+++ b/tests/engine/probes.rs
@@ -1,11 +1,9 @@
 //! Probes of targets for their health and load.
 
-mod common;
-
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use common::{
+use crate::common::{
     HttpClient, basic_resources, eventually, group, service, start_instance, wait_for_claims,
 };
 use standin::faults::Health;
--- a/tests/steering.rs
+++ b/tests/engine/steering.rs
@@ -1,8 +1,6 @@
 //! Addresses and weights that `/v1/addresses` returns.
 
-mod common;
-
-use common::{
+use crate::common::{
     HttpClient, basic_resources, eventually, group, service, start_instance, wait_for_claims,
 };
 use serde_json::Value;
