--- a/tests/engine/admission.rs
+++ b/tests/admission.rs
@@ -1,13 +1,15 @@
 //! Urgent and idle calls through three instances while one of them, which borrows permits, is killed.
 
+mod common;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use crate::common::{
+use bytes::Bytes;
+use common::{
     HttpClient, Instance, basic_resources, eventually, request, start_instance, wait_for_claims,
 };
-use bytes::Bytes;
 use http::Method;
 use http_body_util::Full;
 use serde_json::{Value, json};
--- a/tests/engine/config.rs
+++ b/tests/config.rs
@@ -1,8 +1,10 @@
 //! The configuration under store faults, concurrent changes and restarts.
 
+mod common;
+
 use std::net::SocketAddr;
 
-use crate::common::{
+use common::{
     HttpClient, HttpResponse, Instance, WAIT_LIMIT, basic_resources, eventually, request, service,
     start_instance, start_instance_with,
 };
--- a/tests/engine/keyed.rs
+++ b/tests/keyed.rs
@@ -1,6 +1,8 @@
 //! Calls with an idempotency key through two instances, with store and target faults.
 
-use crate::common::{
+mod common;
+
+use common::{
     HttpClient, HttpResponse, Instance, basic_resources, eventually, group, request, service,
     start_instance_with,
 };
--- a/tests/engine/keys.rs
+++ b/tests/keys.rs
@@ -1,6 +1,8 @@
 //! Authentication of operators, peers and callers by their keys.
 
-use crate::common::{
+mod common;
+
+use common::{
     HttpClient, basic_resources, eventually, group, request, service, start_instance_with,
 };
 use http::{Method, header};
--- a/tests/engine/log.rs
+++ b/tests/log.rs
@@ -1,9 +1,11 @@
 //! Fields and level of the log of a real instance.
 
+mod common;
+
 use std::io::{BufRead, BufReader};
 use std::process::{Child, Command, Stdio};
 
-use crate::common::{HttpClient, request};
+use common::{HttpClient, request};
 use http::Method;
 use serde_json::{Value, json};
 use wagtailsaddle::server::Announcement;
--- a/tests/engine/membership.rs
+++ b/tests/membership.rs
@@ -1,9 +1,11 @@
 //! Rate of store calls that membership makes, counted at the stand-in store.
 
+mod common;
+
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use crate::common::{
+use common::{
     HttpClient, Instance, basic_resources, eventually, group, service, start_instance_with,
 };
 use serde_json::json;
--- a/tests/engine/mixed.rs
+++ b/tests/mixed.rs
@@ -3,14 +3,16 @@
 //!
 //! The environment variable `MIXED_CALLS` sets the number of calls; counts by outcome are printed.
 
+mod common;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::common::{
+use bytes::Bytes;
+use common::{
     HttpClient, Instance, WAIT_LIMIT, basic_resources, eventually, group, request, service,
     start_instance_with,
 };
-use bytes::Bytes;
 use http::Method;
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
--- a/tests/engine/outcome.rs
+++ b/tests/outcome.rs
@@ -1,8 +1,10 @@
 //! Outcomes of calls whose targets fail: the reported outcome, and how often the call ran.
 
+mod common;
+
 use std::time::Duration;
 
-use crate::common::{
+use common::{
     HttpClient, HttpResponse, Instance, basic_resources, eventually, group, request, service,
     start_instance_with,
 };
--- a/tests/engine/ownership.rs
+++ b/tests/ownership.rs
@@ -2,13 +2,15 @@
 //! store or shut down under load. Calls that a previous owner granted keep running at the targets,
 //! so a new owner that granted too early would overload them.
 
+mod common;
+
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::common::{
+use common::{
     HttpClient, Instance, basic_resources, eventually, group, request, service, start_instance_with,
 };
 use http::Method;
--- a/tests/engine/path.rs
+++ b/tests/path.rs
@@ -1,6 +1,8 @@
 //! One call served end to end through two instances as real processes.
 
-use crate::common::{
+mod common;
+
+use common::{
     HttpClient, basic_resources, eventually, group, service, start_instance, wait_for_claims,
 };
 use standin::platform::Platform;
--- a/tests/engine/probes.rs
+++ b/tests/probes.rs
@@ -1,9 +1,11 @@
 //! Probes of targets for their health and load.
 
+mod common;
+
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use crate::common::{
+use common::{
     HttpClient, basic_resources, eventually, group, service, start_instance, wait_for_claims,
 };
 use standin::faults::Health;
--- a/tests/engine/steering.rs
+++ b/tests/steering.rs
@@ -1,6 +1,8 @@
 //! Addresses and weights that `/v1/addresses` returns.
 
-use crate::common::{
+mod common;
+
+use common::{
     HttpClient, basic_resources, eventually, group, service, start_instance, wait_for_claims,
 };
 use serde_json::Value;
--- a/tests/engine/zone.rs
+++ b/tests/zone.rs
@@ -1,11 +1,13 @@
 //! Zones and targets taken out of service under load while the store is unreachable.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use crate::common::{
+use common::{
     HttpClient, Instance, basic_resources, eventually, request, service, start_instance,
     wait_for_claims,
 };
