--- a/tests/common/mod.rs
+++ b/testing/src/lib.rs
@@ -1,6 +1,5 @@
 //! Helpers of the integration tests: instances as real processes, resources and an HTTP client.
-
-#![allow(dead_code, reason = "no test file uses every helper")]
+//! They panic where a test can't go on.
 
 use std::future::Future;
 use std::io::{BufRead, BufReader};
@@ -26,8 +25,9 @@
 
 /// A running instance; dropping it kills the process.
 pub struct Instance {
-    pub name: String,
+    /// Addresses that it listens on.
     pub addresses: Announcement,
+    /// Its process.
     pub process: Child,
 }
 
@@ -39,11 +39,16 @@
 }
 
 /// Starts an instance in `zone` on ports that the operating system chooses.
+#[must_use]
 pub fn start_instance(platform: &Platform, name: &str, zone: &str) -> Instance {
     start_instance_with(platform, name, zone, &json!({}))
 }
 
 /// Starts an instance with the fields of `overrides` merged into its settings.
+///
+/// # Panics
+/// The instance does not start.
+#[must_use]
 pub fn start_instance_with(
     platform: &Platform,
     name: &str,
@@ -65,16 +70,21 @@
     let path = dir.path().join("settings.json");
     std::fs::write(&path, settings.to_string()).expect("settings written");
     let (process, addresses) = spawn(&path);
-    Instance {
-        name: name.to_owned(),
-        addresses,
-        process,
-    }
+    Instance { addresses, process }
+}
+
+/// Path of the program, which is built into the folder above that of the test programs.
+fn program() -> PathBuf {
+    let test = std::env::current_exe().expect("path of the test program");
+    let folder = test.ancestors().nth(2).expect("folder of the build");
+    folder
+        .join("wagtailsaddle")
+        .with_extension(std::env::consts::EXE_EXTENSION)
 }
 
 /// Starts the program and reads the addresses that it prints.
 fn spawn(settings: &PathBuf) -> (Child, Announcement) {
-    let mut process = Command::new(env!("CARGO_BIN_EXE_wagtailsaddle"))
+    let mut process = Command::new(program())
         .arg("serve")
         .arg("--settings")
         .arg(settings)
@@ -103,6 +113,7 @@
 }
 
 /// A group of targets that take one millisecond for each call.
+#[must_use]
 pub fn group(service: &str, zone: &str, count: usize) -> TargetGroup {
     TargetGroup {
         service: service.to_owned(),
@@ -113,6 +124,7 @@
 }
 
 /// The priorities, the anonymous caller and the zones that most tests declare.
+#[must_use]
 pub fn basic_resources(zones: &[&str]) -> Vec<Value> {
     let mut resources = vec![
         json!({"kind": "Priority", "name": "urgent", "spec": {"rank": 0}}),
@@ -127,6 +139,7 @@
 }
 
 /// A service with six slots on each target and no warm-up.
+#[must_use]
 pub fn service(name: &str) -> Value {
     json!({
         "kind": "Service",
@@ -145,24 +158,39 @@
 /// A response with its whole body.
 #[derive(Debug)]
 pub struct HttpResponse {
+    /// Status code.
     pub status: u16,
+    /// Status and headers.
     pub head: http::response::Parts,
+    /// Body, with replacements where it is no text.
     pub body: String,
 }
 
 impl HttpResponse {
     /// The body as JSON; null if it is not JSON.
+    #[must_use]
     pub fn json(&self) -> Value {
         serde_json::from_str(&self.body).unwrap_or(Value::Null)
     }
 }
 
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl HttpClient {
+    /// Creates a client without connections.
+    #[must_use]
     pub fn new() -> Self {
         Self(Client::builder(TokioExecutor::new()).build_http())
     }
 
     /// Sends a request and reads the whole response.
+    ///
+    /// # Errors
+    /// Why there is no whole response within [`WAIT_LIMIT`].
     pub async fn send(&self, req: Request<Full<Bytes>>) -> Result<HttpResponse, String> {
         let result = tokio::time::timeout(WAIT_LIMIT, self.0.request(req)).await;
         let resp: Response<_> = result
@@ -182,6 +210,9 @@
     }
 
     /// Sends a GET request without a body.
+    ///
+    /// # Errors
+    /// See [`Self::send`].
     pub async fn get(
         &self,
         address: SocketAddr,
@@ -193,6 +224,9 @@
     }
 
     /// Declares resources and returns the response.
+    ///
+    /// # Errors
+    /// See [`Self::send`].
     pub async fn apply(
         &self,
         admin: SocketAddr,
@@ -226,6 +260,10 @@
 }
 
 /// Builds a request to `host` at `address`.
+///
+/// # Panics
+/// `path` is not the path of a URI.
+#[must_use]
 pub fn request(
     method: Method,
     address: SocketAddr,
@@ -241,7 +279,10 @@
         .expect("request")
 }
 
-/// Polls `check` until it returns a value; panics after [`WAIT_LIMIT`].
+/// Polls `check` until it returns a value.
+///
+/// # Panics
+/// It has returned none for [`WAIT_LIMIT`].
 pub async fn eventually<T, F>(condition: &str, mut check: impl FnMut() -> F) -> T
 where
     F: Future<Output = Option<T>>,
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -1,19 +1,17 @@
 //! Urgent and idle calls through three instances while one of them, which borrows permits, is killed.
 
-mod common;
-
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{
-    HttpClient, Instance, basic_resources, eventually, request, start_instance, wait_for_claims,
-};
 use http::Method;
 use http_body_util::Full;
 use serde_json::{Value, json};
 use standin::platform::{Platform, TargetGroup};
+use testing::{
+    HttpClient, Instance, basic_resources, eventually, request, start_instance, wait_for_claims,
+};
 
 const SLOTS: u32 = 3;
 const HOST: &str = "readings.test";
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -1,22 +1,20 @@
 //! Malformed requests, HTTP/2 connections with several calls, and shutdown with calls in flight.
 
-mod common;
-
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{
-    HttpClient, HttpResponse, Instance, basic_resources, eventually, group, request, service,
-    start_instance_with,
-};
 use http::{Method, Request};
 use http_body_util::{BodyExt, Empty};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use serde_json::{Value, json};
 use standin::faults::ResponseFault;
 use standin::platform::Platform;
+use testing::{
+    HttpClient, HttpResponse, Instance, basic_resources, eventually, group, request, service,
+    start_instance_with,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -1,16 +1,14 @@
 //! The configuration under store faults, concurrent changes and restarts.
 
-mod common;
-
 use std::net::SocketAddr;
 
-use common::{
-    HttpClient, HttpResponse, Instance, WAIT_LIMIT, basic_resources, eventually, request, service,
-    start_instance, start_instance_with,
-};
 use http::Method;
 use serde_json::{Value, json};
 use standin::platform::Platform;
+use testing::{
+    HttpClient, HttpResponse, Instance, WAIT_LIMIT, basic_resources, eventually, request, service,
+    start_instance, start_instance_with,
+};
 
 const CONFIG_KEY: &str = "/wagtailsaddle/config";
 const DOCUMENT_PREFIX: &str = "/wagtailsaddle-documents/";
--- a/tests/keyed.rs
+++ b/tests/keyed.rs
@@ -1,15 +1,13 @@
 //! Calls with an idempotency key through two instances, with store and target faults.
 
-mod common;
-
-use common::{
-    HttpClient, HttpResponse, Instance, basic_resources, eventually, group, request, service,
-    start_instance_with,
-};
 use http::Method;
 use serde_json::json;
 use standin::faults::ResponseFault;
 use standin::platform::Platform;
+use testing::{
+    HttpClient, HttpResponse, Instance, basic_resources, eventually, group, request, service,
+    start_instance_with,
+};
 
 struct Fixture {
     platform: Platform,
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -1,13 +1,11 @@
 //! Authentication of operators, peers and callers by their keys.
 
-mod common;
-
-use common::{
-    HttpClient, basic_resources, eventually, group, request, service, start_instance_with,
-};
 use http::{Method, header};
 use serde_json::json;
 use standin::platform::Platform;
+use testing::{
+    HttpClient, basic_resources, eventually, group, request, service, start_instance_with,
+};
 
 const OPERATOR_KEY: &str = "operator-secret";
 const PEER_KEY: &str = "peer-secret";
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -1,18 +1,16 @@
 //! Limits of a client account across several instances.
 
-mod common;
-
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use common::{
-    HttpClient, HttpResponse, Instance, basic_resources, eventually, request, start_instance,
-    wait_for_claims,
-};
 use http::Method;
 use serde_json::{Value, json};
 use standin::platform::{Platform, TargetGroup};
+use testing::{
+    HttpClient, HttpResponse, Instance, basic_resources, eventually, request, start_instance,
+    wait_for_claims,
+};
 
 const HOST: &str = "reports.test";
 /// SHA-256 of `key-of-lab`.
@@ -36,7 +34,7 @@
     let mut resources = basic_resources(&["a"]);
     resources.push(json!({"kind": "Caller", "name": "lab", "spec": spec}));
     // One target counts all calls; only the caller's limit restricts them.
-    let mut reports = common::service("reports");
+    let mut reports = testing::service("reports");
     reports["spec"]["target"]["slots"] = json!(100);
     reports["spec"]["urgent_reserve_percent"] = json!(0);
     resources.push(reports);
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -1,13 +1,11 @@
 //! Fields and level of the log of a real instance.
 
-mod common;
-
 use std::io::{BufRead, BufReader};
 use std::process::{Child, Command, Stdio};
 
-use common::{HttpClient, request};
 use http::Method;
 use serde_json::{Value, json};
+use testing::{HttpClient, request};
 use wagtailsaddle::server::Announcement;
 
 /// Kills its process on drop, also when the test fails.
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -1,15 +1,13 @@
 //! Rate of store calls that membership makes, counted at the stand-in store.
 
-mod common;
-
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use common::{
-    HttpClient, Instance, basic_resources, eventually, group, service, start_instance_with,
-};
 use serde_json::json;
 use standin::platform::Platform;
+use testing::{
+    HttpClient, Instance, basic_resources, eventually, group, service, start_instance_with,
+};
 
 /// Number of instances; the environment variable `INSTANCES` overrides it.
 const INSTANCES: usize = 4;
--- a/tests/mixed.rs
+++ b/tests/mixed.rs
@@ -3,16 +3,10 @@
 //!
 //! The environment variable `MIXED_CALLS` sets the number of calls; counts by outcome are printed.
 
-mod common;
-
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{
-    HttpClient, Instance, WAIT_LIMIT, basic_resources, eventually, group, request, service,
-    start_instance_with,
-};
 use http::Method;
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
@@ -25,6 +19,10 @@
 use serde_json::json;
 use standin::faults::ResponseFault;
 use standin::platform::Platform;
+use testing::{
+    HttpClient, Instance, WAIT_LIMIT, basic_resources, eventually, group, request, service,
+    start_instance_with,
+};
 
 const CALLS: usize = 2_000;
 const WORKERS: usize = 24;
--- a/tests/outcome.rs
+++ b/tests/outcome.rs
@@ -1,17 +1,15 @@
 //! Outcomes of calls whose targets fail: the reported outcome, and how often the call ran.
 
-mod common;
-
 use std::time::Duration;
 
-use common::{
-    HttpClient, HttpResponse, Instance, basic_resources, eventually, group, request, service,
-    start_instance_with,
-};
 use http::Method;
 use serde_json::{Value, json};
 use standin::faults::ResponseFault;
 use standin::platform::Platform;
+use testing::{
+    HttpClient, HttpResponse, Instance, basic_resources, eventually, group, request, service,
+    start_instance_with,
+};
 
 /// One instance and a few targets of the service `orders`.
 struct Fixture {
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -2,21 +2,19 @@
 //! store or shut down under load. Calls that a previous owner granted keep running at the targets,
 //! so a new owner that granted too early would overload them.
 
-mod common;
-
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use common::{
-    HttpClient, Instance, basic_resources, eventually, group, request, service, start_instance_with,
-};
 use http::Method;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use standin::platform::{Platform, TargetGroup};
+use testing::{
+    HttpClient, Instance, basic_resources, eventually, group, request, service, start_instance_with,
+};
 use tokio::task::JoinHandle;
 
 const SLOTS: u32 = 6;
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -1,11 +1,9 @@
 //! One call served end to end through two instances as real processes.
 
-mod common;
-
-use common::{
+use standin::platform::Platform;
+use testing::{
     HttpClient, basic_resources, eventually, group, service, start_instance, wait_for_claims,
 };
-use standin::platform::Platform;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_gets_its_own_response_through_the_owner() {
--- a/tests/probes.rs
+++ b/tests/probes.rs
@@ -1,15 +1,13 @@
 //! Probes of targets for their health and load.
 
-mod common;
-
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use common::{
-    HttpClient, basic_resources, eventually, group, service, start_instance, wait_for_claims,
-};
 use standin::faults::Health;
 use standin::platform::Platform;
+use testing::{
+    HttpClient, basic_resources, eventually, group, service, start_instance, wait_for_claims,
+};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn only_the_owner_probes_and_within_the_budget() {
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -2,13 +2,11 @@
 //!
 //! The times and reads are printed; see docs/design/configuration-spread.md.
 
-mod common;
-
 use std::time::{Duration, Instant};
 
-use common::{HttpClient, Instance, WAIT_LIMIT, basic_resources, eventually, start_instance_with};
 use serde_json::{Value, json};
 use standin::platform::Platform;
+use testing::{HttpClient, Instance, WAIT_LIMIT, basic_resources, eventually, start_instance_with};
 
 const DOCUMENT_PREFIX: &str = "/wagtailsaddle-documents/";
 const INSTANCES: usize = 8;
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -1,12 +1,10 @@
 //! Addresses and weights that `/v1/addresses` returns.
 
-mod common;
-
-use common::{
-    HttpClient, basic_resources, eventually, group, service, start_instance, wait_for_claims,
-};
 use serde_json::Value;
 use standin::platform::Platform;
+use testing::{
+    HttpClient, basic_resources, eventually, group, service, start_instance, wait_for_claims,
+};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn addresses_prefer_owners_in_the_callers_zone_and_weigh_free_slots() {
--- a/tests/zone.rs
+++ b/tests/zone.rs
@@ -1,21 +1,19 @@
 //! Zones and targets taken out of service under load while the store is unreachable.
 
-mod common;
-
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use common::{
-    HttpClient, Instance, basic_resources, eventually, request, service, start_instance,
-    wait_for_claims,
-};
 use http::Method;
 use indexmap::IndexMap;
 use serde_json::{Value, json};
 use standin::platform::{Platform, TargetGroup};
 use standin::target::TargetStandin;
+use testing::{
+    HttpClient, Instance, basic_resources, eventually, request, service, start_instance,
+    wait_for_claims,
+};
 
 const HOST: &str = "status.test";
 const ZONES: [&str; 3] = ["a", "b", "c"];
