--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -154,10 +154,27 @@
     /// From which page on a stale read is answered by a replica that is behind.
     behind_from: AtomicU64,
     behind: Duration,
+    /// Revision before which the history is forgotten.
+    floor: AtomicU64,
+    /// While it is set, watches hear nothing.
+    is_silent: AtomicBool,
     stop: Arc<AtomicBool>,
 }
 
 impl Store {
+    /// Watches hear nothing for a second, then the history is dropped and they are cut.
+    fn compact(&self) {
+        self.is_silent.store(true, Ordering::Relaxed);
+        thread::sleep(ms(1000));
+        let rev = self.data.lock().unwrap().rev;
+        self.floor.store(rev, Ordering::Relaxed);
+        self.is_silent.store(false, Ordering::Relaxed);
+        self.changed.notify_all();
+        note(&format!(
+            "store: the history up to revision {rev} is dropped"
+        ));
+    }
+
     fn write(&self, writes: &[(String, String)], remove: &[String]) -> u64 {
         let mut data = self.data.lock().unwrap();
         self.change(&mut data, writes, remove)
@@ -277,6 +294,9 @@
         );
         let mut data = self.data.lock().unwrap();
         loop {
+            if after < self.floor.load(Ordering::Relaxed) {
+                return ("410 Gone", "{}".to_owned());
+            }
             let events: Vec<String> = data
                 .events
                 .iter()
@@ -287,7 +307,13 @@
                 })
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
-            if !events.is_empty() || left.is_zero() || self.stop.load(Ordering::Relaxed) {
+            let is_heard = !self.is_silent.load(Ordering::Relaxed);
+            if left.is_zero() && !is_heard {
+                let body = format!("{{\"events\":[],\"store_revision\":{after}}}");
+                return ("200 OK", body);
+            }
+            if !events.is_empty() && is_heard || left.is_zero() || self.stop.load(Ordering::Relaxed)
+            {
                 let body = format!(
                     "{{\"events\":[{}],\"store_revision\":{}}}",
                     events.join(","),
@@ -598,6 +624,8 @@
             page,
             behind_from: AtomicU64::new(0),
             behind,
+            floor: AtomicU64::new(0),
+            is_silent: AtomicBool::new(false),
             stop: stop.clone(),
         });
         let serving = store.clone();
@@ -964,6 +992,45 @@
     broken
 }
 
+/// Servers are replaced; the store forgets its history right after one has left, before the
+/// watches have heard of it.
+fn compaction(program: &Path, folder: &Path, trouble: bool) -> usize {
+    let world = World::new(program, folder, 16, 500, Duration::ZERO);
+    world.configure();
+    for number in 0..27 {
+        world.add_server(ZONES[number % 3]);
+    }
+    world.start_all();
+    thread::sleep(ms(3000));
+    world.start_clients(150);
+    thread::sleep(ms(3000));
+    let mut spans = Vec::new();
+    for round in 0..6 {
+        let server = world.servers.lock().unwrap()[round].clone();
+        world.add_server(server.zone);
+        thread::sleep(ms(60));
+        world.remove_server(&server, ms(9000));
+        thread::sleep(ms(60));
+        let begin = Instant::now();
+        if trouble {
+            world.store.compact();
+            spans.push((begin, Instant::now()));
+        }
+        thread::sleep(ms(11_000));
+    }
+    world.stop.store(true, Ordering::Relaxed);
+    thread::sleep(ms(1500));
+    // The core is stable `touch_ms` after each disturbance.
+    let in_touch = |_, at: Instant| {
+        spans
+            .iter()
+            .all(|(begin, end)| at < *begin || at >= *end + TOUCH)
+    };
+    let broken = world.late_arrivals(&in_touch);
+    world.finish();
+    broken
+}
+
 /// A server of uploads: three slots and a queue of six. It is slow, and says so.
 struct Vault {
     id: String,
@@ -1178,6 +1245,7 @@
         "removals" => removals,
         "pages" => pages,
         "uploads" => uploads,
+        "compaction" => compaction,
         _ => give_up("no such case"),
     };
     let broken = play(program, &temporary, trouble);
