Send peers every record if removals since their position are unknown

Cause: after its first complete read, `Replica` claimed to know all removals since revision 0. The same holds for any later complete read: a record that came and went between two reads is in neither, and a peer that has it got a partial delta.

A replica now keeps the ranges of revisions after which it knows every removal. A complete read starts another range; a peer whose position is in none gets every record, and so removes what is missing. Peers that stand where the replica stood before such a read still get a partial delta.

--- a/src/entry/fleet/replica.rs
+++ b/src/entry/fleet/replica.rs
@@ -10,6 +10,7 @@
 
 use std::cmp::Ordering;
 use std::collections::VecDeque;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
@@ -20,6 +21,9 @@
 /// Removals that are kept for peers: enough for some minutes of targets that come and
 /// go.
 const MAX_TOMBSTONES: usize = 512;
+/// Ranges of revisions that are kept for peers. A complete read starts another one, at most
+/// every few seconds; a peer in none of them gets every record.
+const MAX_COVERED: usize = 16;
 
 /// Position in the store's history; later ones are greater.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
@@ -72,6 +76,10 @@
     tombstones: VecDeque<(u64, Arc<str>)>,
     /// Removals up to this revision may no longer be known.
     tombstones_from: u64,
+    /// Revisions after which every removal that matters to a peer is known, in rising order.
+    /// A complete read skips the keys that came and went since the last revision, so it
+    /// starts another range; the last one ends at `revision`.
+    covered: VecDeque<RangeInclusive<u64>>,
     configuration: Option<Arc<Configuration>>,
 }
 
@@ -157,10 +165,26 @@
             self.content_revision = self.content_revision.max(change.revision);
             applied.extend(self.apply_change(change));
         }
+        self.cover(delta.complete, delta.revision);
         self.revision = self.revision.max(delta.revision);
         applied
     }
 
+    /// Records that removals are known up to `revision`.
+    fn cover(&mut self, complete: bool, revision: u64) {
+        if complete && revision > self.revision {
+            self.covered.push_back(revision..=revision);
+            if self.covered.len() > MAX_COVERED {
+                self.covered.pop_front();
+            }
+            return;
+        }
+        match self.covered.back_mut() {
+            Some(last) => *last = *last.start()..=revision.max(*last.end()),
+            None => self.covered.push_back(0..=revision),
+        }
+    }
+
     /// Number of rows among the records that a peer at `position` lacks; a configuration has
     /// one for each route, service and account.
     #[must_use]
@@ -181,7 +205,12 @@
     /// the changes.
     fn delta_start(&self, position: Position) -> (bool, u64) {
         let Position { era, revision } = position;
-        let complete = era != self.era || revision == 0 || revision < self.tombstones_from;
+        let mut covered = self.covered.iter();
+        let complete = era != self.era
+            || revision == 0
+            || revision < self.tombstones_from
+            // The peer may be ahead of this copy; it then lacks nothing.
+            || (revision <= self.revision && !covered.any(|range| range.contains(&revision)));
         (complete, if complete { 0 } else { revision })
     }
 
@@ -221,7 +250,8 @@
         self.revision = 0;
         self.content_revision = 0;
         self.tombstones.clear();
-        self.tombstones_from = delta.revision;
+        self.tombstones_from = 0;
+        self.covered.clear();
         for entry in self.entries.values_mut() {
             entry.revision = match entry.record {
                 Record::Configuration(_) => delta.revision,
--- a/src/entry/fleet/replica/tests.rs
+++ b/src/entry/fleet/replica/tests.rs
@@ -310,3 +310,34 @@
     started.apply(ahead.delta_since(Position::default()));
     assert_eq!(started.configuration().unwrap().version, 8);
 }
+
+/// A peer that asks it would use the removed record until it reads everything anew.
+#[test]
+fn an_instance_that_has_just_read_the_store_passes_on_earlier_removals() {
+    let mut peer = Replica::default();
+    let records = vec![
+        change("left", 5, Some(instance(5))),
+        change("stays", 6, Some(instance(6))),
+    ];
+    peer.apply(delta(6, false, records));
+    let mut started = Replica::default();
+    let read = vec![change("stays", 6, Some(instance(6)))];
+    started.apply(delta(8, true, read));
+    started.apply(delta(9, false, vec![change("new", 9, Some(instance(9)))]));
+    peer.apply(started.delta_since(peer.position()));
+    assert_eq!(contents(&peer), contents(&started));
+}
+
+/// The peer has a record that came and went between two reads of the other instance.
+#[test]
+fn a_record_that_a_complete_read_skipped_is_removed_from_peers() {
+    let first = vec![change("stays", 1, Some(instance(1)))];
+    let mut reread = Replica::default();
+    reread.apply(delta(1, true, first.clone()));
+    let mut peer = reread.clone();
+    peer.apply(delta(3, false, vec![change("brief", 3, Some(instance(3)))]));
+    reread.apply(delta(8, true, first));
+    assert!(!reread.delta_since(position(1)).complete);
+    peer.apply(reread.delta_since(peer.position()));
+    assert_eq!(contents(&peer), contents(&reread));
+}
