Announce removals that only a complete read shows

Cause: only changes in a delta raised the content revision, and a removal that a complete read shows is in none of them. `Replica::remove` raises it now, on every path on which a record is removed.

The new test failed before (position 3 instead of 5).

--- a/src/entry/fleet/replica.rs
+++ b/src/entry/fleet/replica.rs
@@ -356,6 +356,8 @@
         if matches!(present, Some(Record::Configuration(_))) {
             return None;
         }
+        // A removal that a complete read shows is in none of its changes.
+        self.content_revision = self.content_revision.max(revision);
         self.tombstones.push_back((revision, key.clone()));
         while self.tombstones.len() > MAX_TOMBSTONES {
             if let Some((at, _)) = self.tombstones.pop_front() {
--- a/src/entry/fleet/replica/tests.rs
+++ b/src/entry/fleet/replica/tests.rs
@@ -341,3 +341,17 @@
     peer.apply(reread.delta_since(peer.position()));
     assert_eq!(contents(&peer), contents(&reread));
 }
+
+/// Its peers ask only an instance whose newest change is beyond their own.
+#[test]
+fn a_removal_known_from_a_complete_read_alone_is_announced_to_peers() {
+    let mut replica = Replica::default();
+    let records = vec![
+        change("left", 2, Some(instance(2))),
+        change("stays", 3, Some(instance(3))),
+    ];
+    replica.apply(delta(3, false, records));
+    let read = vec![change("stays", 3, Some(instance(3)))];
+    replica.apply(delta(5, true, read));
+    assert_eq!(replica.content_position(), position(5));
+}
