Watch on from the lowest revision of a read's pages

Cause: `read_all` took the first page's revision, from which both the confirming watch and all later ones start, so what a later page lacks never arrived. The lowest revision of all pages delivers it; the watch repeats what some pages have already, which changes nothing.

The new test failed before (the watch had no events). The stand-in store can now serve later pages from further behind.

--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -125,15 +125,17 @@
         }
     }
 
-    /// Reads all records, page by page; the revision is that of the first page. A read
-    /// that may be stale costs a tenth of a linearizable one. If the store is restored
+    /// Reads all records, page by page. The revision is the lowest one of all pages, since
+    /// later pages of a read that may be stale can come from a replica that is further
+    /// behind. Such a read costs a tenth of a linearizable one. If the store is restored
     /// between two pages, the result is [`StoreError::Restored`].
     pub(crate) async fn read_all(
         &mut self,
         consistency: ReadConsistency,
     ) -> Result<ChangeSet, StoreError> {
         let mut items = Vec::new();
-        let mut first = None;
+        let mut first_era = None;
+        let mut revision = u64::MAX;
         let mut after = String::new();
         loop {
             let stale = match consistency {
@@ -148,10 +150,10 @@
             let answer = self.get("range", &path, timeout, MAX_RESPONSE_BYTES);
             let Answer { era, body } = answer.await?;
             let page: Page = body;
-            let (first_era, revision) = *first.get_or_insert((era, page.store_revision));
-            if era != first_era {
+            if era != *first_era.get_or_insert(era) {
                 return Err(StoreError::Restored);
             }
+            revision = revision.min(page.store_revision);
             let last = page.items.iter().rfind(|item| !item.key.is_empty());
             if let Some(last) = last {
                 after.clone_from(&last.key);
--- a/src/platform/prepared/store/tests.rs
+++ b/src/platform/prepared/store/tests.rs
@@ -297,6 +297,23 @@
     assert_eq!(keys(&missed), ["servers/new"]);
 }
 
+/// A watch from the first page's revision would never bring the removal.
+#[tokio::test]
+async fn a_removal_that_a_later_page_lacks_is_delivered_by_the_watch_that_follows() {
+    let (store, mut client) = setup().await;
+    for number in 0..120 {
+        store.put(&format!("servers/t{number:03}"), &target("a"));
+    }
+    store.remove("servers/t110");
+    store
+        .faults
+        .change(|faults| faults.later_pages_stale_by = 1);
+    let read = client.read_all(ReadConsistency::Stale).await.unwrap();
+    assert!(keys(&read).contains(&"servers/t110"));
+    let missed = client.watch(position(read.revision), WAIT).await.unwrap();
+    assert_eq!(keys(&missed), ["servers/t110"]);
+}
+
 #[tokio::test]
 async fn a_watch_of_a_restored_store_fails_even_if_it_has_that_revision_again() {
     let (store, mut client) = setup().await;
--- a/standin/src/prepared/store.rs
+++ b/standin/src/prepared/store.rs
@@ -47,6 +47,8 @@
     pub lost_responses: u32,
     /// Number of revisions by which stale reads are behind.
     pub stale_by_revisions: u64,
+    /// Number of revisions by which the later pages of stale reads are behind the first one.
+    pub later_pages_stale_by: u64,
     /// Watches deliver no events.
     pub silent_watches: bool,
     /// Calls that began before this number was raised never get a response.
@@ -288,10 +290,11 @@
 ) -> Response<Body> {
     let prefix = query.get("prefix").map_or("", String::as_str);
     let after = query.get("after").map_or("", String::as_str);
-    let behind = if query.contains_key("stale_ok") {
-        faults.get().stale_by_revisions
-    } else {
-        0
+    let faults = faults.get();
+    let behind = match (query.contains_key("stale_ok"), after) {
+        (false, _) => 0,
+        (true, "") => faults.stale_by_revisions,
+        (true, _) => faults.stale_by_revisions + faults.later_pages_stale_by,
     };
     state.data.change(|data| {
         let revision = data.revision.saturating_sub(behind);
