Compare copies that differ though their newest change is the same

- All watchers are killed while a target leaves.
A restarted instance reads the store without the target and watches on, so the others don't; their newest change is the same, so they keep the target until another change.
- A copy of a peer that is behind brought back a record that a complete read had shown to be gone.
- Each instance fetched from a peer, twenty times a second, whose newest change was a removal from before its own first read.

Heartbeats now carry a digest of the records. An instance whose records differ from those of a peer with the same newest change compares them: at once if it does not know the removals up to that change, else after 500 ms. What it finds it announces like a removal of its own read. A peer with the same digest proves that no removal is missing, so that restarts cost no copies of everything. Earlier releases send no digest and ignore it. The tests of the extensions before it count its length now.

--- a/src/entry/fleet/changes.rs
+++ b/src/entry/fleet/changes.rs
@@ -14,9 +14,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
+use crate::entry::fleet::comparison::Comparisons;
 use crate::entry::fleet::message::{self, MAX_FRAME};
-use crate::entry::fleet::replica::{Delta, Position};
-use crate::entry::fleet::source::{self, Avoided, Source};
+use crate::entry::fleet::replica::{Delta, Digest, Position, Summary};
+use crate::entry::fleet::source::{self, Avoided, Lacking, Source};
 use crate::entry::shared::Shared;
 use crate::units::Time;
 
@@ -86,6 +87,8 @@
 /// A fetch that has ended.
 struct Fetched {
     source: Source,
+    /// The own copy when the fetch was started.
+    own: Digest,
     from: Position,
     started: Time,
     /// The changes; `None` if the source was busy.
@@ -110,11 +113,12 @@
         self.asked.iter().any(|(known, _)| *known == peer)
     }
 
-    fn start(&mut self, source: Source, from: Position, started: Time) {
+    fn start(&mut self, source: Source, own: Digest, from: Position, started: Time) {
         self.asked.push((source.address, started));
         self.running.push(Box::pin(async move {
             Fetched {
                 source,
+                own,
                 from,
                 started,
                 result: fetch_changes(source.address, from).await,
@@ -141,11 +145,12 @@
     let interval = shared.state().tuning.heartbeat_interval;
     let mut behind_since: Option<Time> = None;
     let mut avoided = Avoided::default();
+    let mut comparisons = Comparisons::default();
     let mut fetches = Fetches::default();
     loop {
         tokio::select! {
             Some(ended) = fetches.next() => {
-                if finish(&shared, &mut avoided, ended) {
+                if finish(&shared, &mut avoided, &mut comparisons, ended) {
                     fetches.clear();
                 }
                 continue;
@@ -153,7 +158,7 @@
             () = tokio::time::sleep(interval / 2) => {}
         }
         let now = shared.now();
-        let mut sources = sources(&shared, now);
+        let mut sources = sources(&shared, &mut comparisons, now);
         if sources.is_empty() {
             behind_since = None;
             avoided.forget_failures();
@@ -174,18 +179,32 @@
         {
             continue;
         }
-        fetches.start(*source, fetch_position(&shared, source), now);
+        let (own, from) = {
+            let replica = &shared.state().replica;
+            (replica.digest(), source.lacking.position(replica))
+        };
+        fetches.start(*source, own, from, now);
     }
 }
 
 /// Applies what was fetched, or avoids its source; returns whether there were changes.
-fn finish(shared: &Shared, avoided: &mut Avoided, fetched: Fetched) -> bool {
+fn finish(
+    shared: &Shared,
+    avoided: &mut Avoided,
+    comparisons: &mut Comparisons,
+    fetched: Fetched,
+) -> bool {
     let now = shared.now();
     let peer = fetched.source.address;
     match fetched.result {
         Ok(Some(delta)) => {
             shared.metrics.record_fetch("fetched");
-            shared.state().apply(now, delta, "peer");
+            if fetched.source.lacking == Lacking::Unknown {
+                comparisons.record(fetched.own, fetched.source.summary);
+                compare(shared, &fetched.source, delta);
+            } else {
+                shared.state().apply(now, delta, "peer");
+            }
             shared.capacity_freed.notify_waiters();
             avoided.forget_failures();
             true
@@ -211,32 +230,49 @@
     }
 }
 
-/// The live peers with newer changes or a newer configuration.
-///
-/// A peer has a newer configuration at the same revision when the store holds an invalid
-/// one, so that an instance that has just started found none.
-fn sources(shared: &Shared, now: Time) -> Vec<Source> {
-    let state = shared.state();
-    let (position, version) = (state.replica.content_position(), state.status.version);
-    let zone = &state.settings.zone;
-    let live = state.members.live(now).map(|(address, member)| Source {
-        address,
-        same_zone: member.zone == *zone,
-        position: member.status.position(),
-        version: member.status.version,
-    });
-    live.filter(|source| source.position > position || source.version > version)
-        .collect()
+/// Applies a copy that contradicts the own one.
+fn compare(shared: &Shared, source: &Source, delta: Delta) {
+    let now = shared.now();
+    let mut state = shared.state();
+    tracing::info!(
+        peer = %source.address,
+        newest_change = source.summary.position.revision,
+        own_revision = state.replica.revision(),
+        peer_revision = delta.revision,
+        own = ?state.replica.digest(),
+        peers = ?source.summary.digest,
+        "records of a peer differ though its newest change is the same; comparing"
+    );
+    let delta = state.replica.as_contradiction(delta, source.summary);
+    state.apply(now, delta, "peer");
+    state.replica.cover_from(source.summary);
+    state.take_summary(source.summary);
 }
 
-/// The position after which a source is asked for changes: the default for everything.
-fn fetch_position(shared: &Shared, source: &Source) -> Position {
-    let state = shared.state();
-    if source.position > state.replica.content_position() {
-        state.replica.position()
-    } else {
-        Position::default()
+/// The live peers that have what this instance lacks.
+fn sources(shared: &Shared, comparisons: &mut Comparisons, now: Time) -> Vec<Source> {
+    let mut state = shared.state();
+    let live = state.members.live(now);
+    let peers: Vec<Summary> = live.map(|(_, member)| member.status.summary()).collect();
+    for peer in &peers {
+        state.take_summary(*peer);
     }
+    let (replica, version) = (&state.replica, state.status.version);
+    let may_compare = comparisons.are_due(now, replica, &peers);
+    let zone = &state.settings.zone;
+    let live = state.members.live(now).filter_map(|(address, member)| {
+        let status = &member.status;
+        let summary = status.summary();
+        let compare = may_compare && comparisons.is_new(replica, summary);
+        Some(Source {
+            address,
+            same_zone: member.zone == *zone,
+            summary,
+            version: status.version,
+            lacking: Lacking::of(replica, version, summary, status.version, compare)?,
+        })
+    });
+    live.collect()
 }
 
 /// Fetches the changes after a position from a peer; `None` if it is busy.
--- a/src/entry/fleet/changes/tests.rs
+++ b/src/entry/fleet/changes/tests.rs
@@ -106,7 +106,7 @@
             }
             let now = shared.now();
             let avoided = Avoided::default();
-            let sources = sources(&shared, now);
+            let sources = sources(&shared, &mut Comparisons::default(), now);
             let draw = rand::rng().random();
             source::choose(now, &sources, &avoided, draw)
                 .unwrap()
--- a/src/entry/fleet/members.rs
+++ b/src/entry/fleet/members.rs
@@ -10,7 +10,7 @@
 use siphasher::sip::SipHasher13;
 
 use crate::entry::fleet::message::{Heartbeat, MAX_RELAYED, RelayedStatus};
-use crate::entry::fleet::replica::Position;
+use crate::entry::fleet::replica::{Digest, Position, Summary};
 use crate::entry::fleet::watchers::{StoreAccess, Watcher};
 use crate::entry::model::Target;
 use crate::entry::target::placement::index_for_draw;
@@ -74,6 +74,9 @@
     pub era: u64,
     /// Revision of the newest change in its replica.
     pub revision: u64,
+    /// What identifies the records in its replica, encoded like `era`; `None` from earlier releases.
+    #[serde(skip)]
+    pub digest: Option<Digest>,
     /// Version of its configuration; 0 before the first one.
     pub version: u64,
 }
@@ -87,6 +90,15 @@
             revision: self.revision,
         }
     }
+
+    /// What it tells of its replica.
+    #[must_use]
+    pub fn summary(&self) -> Summary {
+        Summary {
+            position: self.position(),
+            digest: self.digest,
+        }
+    }
 }
 
 /// Whether the next heartbeat contains significant changes, by receiver.
--- a/src/entry/fleet/message.rs
+++ b/src/entry/fleet/message.rs
@@ -11,7 +11,7 @@
 use crate::account::Account;
 use crate::dispatch::quarantine::{Case, Evidence};
 use crate::entry::fleet::members::InstanceStatus;
-use crate::entry::fleet::replica::{Delta, Position};
+use crate::entry::fleet::replica::{Delta, Digest, Position};
 use crate::entry::model::{Change, Record, Target};
 use crate::entry::target::load::Load;
 use crate::entry::target::target_limit::NamedLimit;
@@ -215,6 +215,15 @@
     leaving: Vec<u64>,
 }
 
+/// What follows a [`LeavingExtension`], where earlier releases ignore it.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct DigestExtension {
+    /// What identifies the records in the sender's replica.
+    digest: Option<Digest>,
+    /// The same of the relayed statuses, in their order.
+    relayed_digests: Vec<Option<Digest>>,
+}
+
 /// Encodes a heartbeat. Statuses of other zones' instances, for peers in the same zone,
 /// and fields that earlier releases don't know follow it.
 ///
@@ -240,11 +249,19 @@
     let leaving = LeavingExtension {
         leaving: heartbeat.leaving.clone(),
     };
+    let digests = DigestExtension {
+        digest: heartbeat.status.digest,
+        relayed_digests: relayed
+            .iter()
+            .map(|relayed| relayed.status.digest)
+            .collect(),
+    };
     let mut bytes = encode(&Datagram::Heartbeat(Box::new(heartbeat)))?;
     bytes.extend(postcard::to_stdvec(relayed)?);
     bytes.extend(postcard::to_stdvec(&extension)?);
     bytes.extend(postcard::to_stdvec(&reach)?);
     bytes.extend(postcard::to_stdvec(&leaving)?);
+    bytes.extend(postcard::to_stdvec(&digests)?);
     Ok(bytes)
 }
 
@@ -264,10 +281,12 @@
     }
     let (extension, rest): (HeartbeatExtension, &[u8]) = postcard::take_from_bytes(rest)?;
     let (reach, rest): (ReachExtension, &[u8]) = take_extension(rest)?;
-    let (leaving, _): (LeavingExtension, &[u8]) = take_extension(rest)?;
+    let (leaving, rest): (LeavingExtension, &[u8]) = take_extension(rest)?;
+    let (digests, _): (DigestExtension, &[u8]) = take_extension(rest)?;
     if let Datagram::Heartbeat(heartbeat) = &mut datagram {
         heartbeat.status.era = extension.era;
         heartbeat.status.cut_off = reach.cut_off;
+        heartbeat.status.digest = digests.digest;
         heartbeat.evidence = extension.evidence;
         heartbeat.limits = extension.limits;
         heartbeat.leaving = leaving.leaving;
@@ -278,6 +297,9 @@
     for (relayed, cut_off) in relayed.iter_mut().zip(reach.relayed_cut_off) {
         relayed.status.cut_off = cut_off;
     }
+    for (relayed, digest) in relayed.iter_mut().zip(digests.relayed_digests) {
+        relayed.status.digest = digest;
+    }
     Ok((datagram, relayed))
 }
 
--- a/src/entry/fleet/message/tests.rs
+++ b/src/entry/fleet/message/tests.rs
@@ -1,6 +1,12 @@
 use super::*;
 use crate::dispatch::quarantine::{CrashId, MAX_CRASHES};
 
+/// A digest of the largest size.
+const DIGEST: Digest = Digest {
+    hash: u32::MAX,
+    knows_removals: true,
+};
+
 fn report() -> TargetReport {
     TargetReport {
         target: u64::MAX,
@@ -81,6 +87,7 @@
             store: crate::entry::fleet::watchers::StoreAccess::Lost,
             era: u64::MAX,
             revision: u64::MAX,
+            digest: Some(DIGEST),
             version: u64::MAX,
         },
         reports: vec![
@@ -166,6 +173,48 @@
     }
 }
 
+/// Length of the extension for digests if there are none, with as many relayed statuses.
+fn digest_length(relayed: usize) -> usize {
+    let digests = DigestExtension {
+        digest: None,
+        relayed_digests: vec![None; relayed],
+    };
+    postcard::to_stdvec(&digests).unwrap().len()
+}
+
+#[test]
+fn digests_are_told_also_beside_releases_that_do_not() {
+    let with_digest = |digest, era| InstanceStatus {
+        digest,
+        ..heartbeat(era).status
+    };
+    let sent = Heartbeat {
+        status: with_digest(Some(DIGEST), 4),
+        ..heartbeat(4)
+    };
+    let statuses = [Some(DIGEST), None].map(|digest| RelayedStatus {
+        status: with_digest(digest, 2),
+        ..relayed(2)
+    });
+    let bytes = encode_heartbeat(sent.clone(), &statuses).unwrap();
+    let decoded = decode_datagram(&bytes).unwrap();
+    assert_eq!(
+        decoded,
+        (Datagram::Heartbeat(Box::new(sent)), Vec::from(statuses))
+    );
+    // A release without them sends and decodes a heartbeat up to this extension.
+    let digests = postcard::to_stdvec(&DigestExtension {
+        digest: Some(DIGEST),
+        relayed_digests: vec![Some(DIGEST), None],
+    });
+    let earlier = &bytes[..bytes.len() - digests.unwrap().len()];
+    let (Datagram::Heartbeat(decoded), relayed) = decode_datagram(earlier).unwrap() else {
+        panic!("not a heartbeat");
+    };
+    assert_eq!(decoded.status.digest, None);
+    assert_eq!(relayed[0].status.digest, None);
+}
+
 #[test]
 fn eras_are_decoded_with_their_statuses() {
     let sent = [relayed(2), relayed(3)];
@@ -243,7 +292,7 @@
         relayed_cut_off: vec![true, false],
     });
     let leaving = postcard::to_stdvec(&LeavingExtension::default());
-    let later = reach.unwrap().len() + leaving.unwrap().len();
+    let later = reach.unwrap().len() + leaving.unwrap().len() + digest_length(2);
     let earlier = &bytes[..bytes.len() - later];
     let (Datagram::Heartbeat(decoded), _) = decode_datagram(earlier).unwrap() else {
         panic!("not a heartbeat");
@@ -278,7 +327,8 @@
     let leaving = postcard::to_stdvec(&LeavingExtension {
         leaving: sent.leaving.clone(),
     });
-    let earlier = &bytes[..bytes.len() - leaving.unwrap().len()];
+    let later = leaving.unwrap().len() + digest_length(1);
+    let earlier = &bytes[..bytes.len() - later];
     let (Datagram::Heartbeat(decoded), _) = decode_datagram(earlier).unwrap() else {
         panic!("not a heartbeat");
     };
--- a/src/entry/fleet/mod.rs
+++ b/src/entry/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod caps;
 pub(super) mod changes;
+mod comparison;
 pub(crate) mod digest;
 pub(crate) mod directory;
 pub(crate) mod homes;
--- a/src/entry/fleet/replica.rs
+++ b/src/entry/fleet/replica.rs
@@ -9,12 +9,13 @@
 //! of a later era replaces everything but a newer configuration.
 
 use std::cmp::Ordering;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::ops::RangeInclusive;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
 
+use crate::entry::fleet::members::hash;
 use crate::entry::model::{Change, Configuration, Record};
 use crate::macros::data;
 
@@ -49,6 +50,28 @@
     }
 }
 
+/// What an instance tells its peers of its copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Summary {
+    /// Position of the newest change.
+    pub position: Position,
+    /// What identifies its records; `None` from earlier releases.
+    pub digest: Option<Digest>,
+}
+
+data! {
+    /// Identifies the records of a copy.
+    #[derive(Copy, Eq)]
+    pub struct Digest {
+        /// Hash of the keys and revisions of all records but the configuration, whose revision
+        /// may differ between instances.
+        pub hash: u32,
+        /// Whether every removal up to the newest change is known, unlike after a complete
+        /// read.
+        pub knows_removals: bool,
+    }
+}
+
 /// Effect of a change.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Applied {
@@ -66,6 +89,17 @@
     record: Record,
 }
 
+impl Entry {
+    /// Its part of [`Digest::hash`].
+    fn hash(&self, key: &str) -> u32 {
+        if matches!(self.record, Record::Configuration(_)) {
+            return 0;
+        }
+        let bytes = hash(&(key, self.revision)).to_le_bytes();
+        u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])
+    }
+}
+
 /// Records of the store, with recent removals.
 #[derive(Debug, Clone, Default)]
 pub struct Replica {
@@ -73,6 +107,8 @@
     revision: u64,
     content_revision: u64,
     entries: IndexMap<Arc<str>, Entry>,
+    /// See [`Digest::hash`].
+    hash: u32,
     tombstones: VecDeque<(u64, Arc<str>)>,
     /// Removals up to this revision may no longer be known.
     tombstones_from: u64,
@@ -110,6 +146,88 @@
         }
     }
 
+    /// What identifies the records of this copy.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        let last = self.covered.back();
+        Digest {
+            hash: self.hash,
+            knows_removals: self.content_revision <= self.revision
+                && last.is_some_and(|range| *range.start() <= self.content_revision),
+        }
+    }
+
+    /// What peers are told of this copy.
+    #[must_use]
+    pub fn summary(&self) -> Summary {
+        Summary {
+            position: self.content_position(),
+            digest: Some(self.digest()),
+        }
+    }
+
+    /// Whether a peer's copy has the same newest change and other records: one of the two
+    /// lacks an earlier change.
+    #[must_use]
+    pub fn contradicts(&self, peer: Summary) -> bool {
+        peer.position == self.content_position()
+            && peer.digest.is_some_and(|digest| digest.hash != self.hash)
+    }
+
+    /// The position after which to ask a peer for changes: that of the newest change, which
+    /// most instances have in common, so that the peer knows what was removed since. It is 0
+    /// if earlier changes are missing.
+    #[must_use]
+    pub fn fetch_position(&self) -> Position {
+        if self.content_revision > self.revision {
+            Position::default()
+        } else if self.digest().knows_removals {
+            self.content_position()
+        } else {
+            self.position()
+        }
+    }
+
+    /// Takes over what a peer's summary shows without a fetch. A change up to the revision of
+    /// this copy is part of it, if only as a record that is missing. If the peer has the same
+    /// records and knows every removal up to its newest change, none was removed since.
+    pub fn take_summary(&mut self, peer: Summary) {
+        let Position { era, revision } = peer.position;
+        if era != self.era || revision > self.revision {
+            return;
+        }
+        self.content_revision = self.content_revision.max(revision);
+        let is_same = peer.digest.is_some_and(|digest| digest.hash == self.hash);
+        if is_same && peer.position == self.content_position() {
+            self.cover_from(peer);
+        }
+    }
+
+    /// The delta to apply of a peer's whole copy that contradicts this one. If both know every
+    /// removal, neither is the newer one, and only the records of both stay: a target that left
+    /// must get no requests, and one that did not writes its record again.
+    #[must_use]
+    pub fn as_contradiction(&self, mut delta: Delta, peer: Summary) -> Delta {
+        let knows_removals = |digest: Digest| digest.knows_removals;
+        if delta.era == self.era && peer.digest.is_some_and(knows_removals) {
+            delta.revision = self.revision;
+        }
+        delta
+    }
+
+    /// Records that every removal since the newest change of a peer is known, whose records
+    /// were compared with these: if the peer knows the earlier ones, all that have its newest
+    /// change have its records.
+    pub fn cover_from(&mut self, peer: Summary) {
+        let Position { era, revision } = peer.position;
+        if era == self.era
+            && peer.digest.is_some_and(|digest| digest.knows_removals)
+            && let Some(last) = self.covered.back_mut()
+        {
+            *last = revision.min(*last.start())..=*last.end();
+        }
+    }
+
     /// Whether a delta is the first one after a restore of the store.
     #[must_use]
     pub fn is_restored_by(&self, delta: &Delta) -> bool {
@@ -151,19 +269,25 @@
         if delta.era < self.era {
             return self.apply_earlier_era(delta).into_iter().collect();
         }
-        if delta.era > self.era {
+        let starts_era = delta.era > self.era;
+        if starts_era {
             if !delta.complete {
                 return Vec::new();
             }
             self.start_era(&delta);
         }
         let mut applied = Vec::new();
-        if delta.complete {
+        if delta.complete && (starts_era || delta.revision >= self.revision) {
             self.remove_missing(&delta, &mut applied);
         }
+        let may_be_outdated = delta.complete && !starts_era && delta.revision <= self.revision;
         for change in delta.changes {
             self.content_revision = self.content_revision.max(change.revision);
-            applied.extend(self.apply_change(change));
+            if may_be_outdated && self.is_removed_since(&change) {
+                self.remove(change.key, self.revision);
+            } else {
+                applied.extend(self.apply_change(change));
+            }
         }
         self.cover(delta.complete, delta.revision);
         self.revision = self.revision.max(delta.revision);
@@ -185,6 +309,17 @@
         }
     }
 
+    /// Whether a record of a copy that is not newer is missing here: this copy is complete up to its
+    /// revision, so the record was removed.
+    fn is_removed_since(&self, change: &Change) -> bool {
+        let is_configuration = matches!(change.record, Some(Record::Configuration(_)));
+        change.record.is_some()
+            && !is_configuration
+            && change.revision <= self.revision
+            && !self.entries.contains_key(&change.key)
+            && self.removed_at(&change.key) < Some(change.revision)
+    }
+
     /// Number of rows among the records that a peer at `position` lacks; a configuration has
     /// one for each route, service and account.
     #[must_use]
@@ -258,6 +393,15 @@
                 _ => 0,
             };
         }
+        let hashes = self.entries.iter().map(|(key, entry)| entry.hash(key));
+        self.hash = hashes.fold(0, |all, one| all ^ one);
+    }
+
+    fn insert(&mut self, key: &Arc<str>, entry: Entry) -> Option<Entry> {
+        self.hash ^= entry.hash(key);
+        let previous = self.entries.insert(key.clone(), entry)?;
+        self.hash ^= previous.hash(key);
+        Some(previous)
     }
 
     /// Takes a configuration of an earlier era if it is newer than the present one: the store
@@ -267,17 +411,24 @@
             let Some(Record::Configuration(configuration)) = change.record else {
                 return None;
             };
-            self.apply_configuration(change.key, self.revision, configuration)
+            self.apply_configuration(&change.key, self.revision, configuration)
         })
     }
 
     fn remove_missing(&mut self, delta: &Delta, applied: &mut Vec<Applied>) {
-        let present: std::collections::HashSet<&str> =
-            delta.changes.iter().map(|change| &*change.key).collect();
+        // An old removal of a key says nothing of the record that followed it.
+        let mut named: HashMap<&str, u64> = HashMap::new();
+        for change in &delta.changes {
+            let until = change.record.as_ref().map_or(change.revision, |_| u64::MAX);
+            let known = named.entry(&change.key).or_default();
+            *known = until.max(*known);
+        }
+        let is_named =
+            |key: &str, entry: &Entry| named.get(key).is_some_and(|until| entry.revision <= *until);
         let missing: Vec<Arc<str>> = self
             .entries
             .iter()
-            .filter(|(key, entry)| entry.revision <= delta.revision && !present.contains(&***key))
+            .filter(|(key, entry)| entry.revision <= delta.revision && !is_named(key, entry))
             .filter(|(_, entry)| !matches!(entry.record, Record::Configuration(_)))
             .map(|(key, _)| key.clone())
             .collect();
@@ -288,7 +439,7 @@
 
     fn apply_change(&mut self, change: Change) -> Option<Applied> {
         if let Some(Record::Configuration(configuration)) = change.record {
-            return self.apply_configuration(change.key, change.revision, configuration);
+            return self.apply_configuration(&change.key, change.revision, configuration);
         }
         if self
             .entries
@@ -311,7 +462,7 @@
             revision: change.revision,
             record: record.clone(),
         };
-        let previous = self.entries.insert(change.key.clone(), entry);
+        let previous = self.insert(&change.key, entry);
         (previous.as_ref().map(|entry| &entry.record) != Some(&record))
             .then_some(Applied::Put(change.key, record))
     }
@@ -320,7 +471,7 @@
     /// at a higher revision, which peers must not get from here either.
     fn apply_configuration(
         &mut self,
-        key: Arc<str>,
+        key: &Arc<str>,
         revision: u64,
         configuration: Arc<Configuration>,
     ) -> Option<Applied> {
@@ -338,12 +489,12 @@
         {
             return None;
         }
-        let known_revision = self.revision_of(&key).unwrap_or_default();
+        let known_revision = self.revision_of(key).unwrap_or_default();
         let entry = Entry {
             revision: known_revision.max(revision),
             record: Record::Configuration(configuration.clone()),
         };
-        self.entries.insert(key, entry);
+        self.insert(key, entry);
         (order != Some(Ordering::Equal) || completes).then(|| {
             self.configuration = Some(configuration.clone());
             Applied::Configuration(configuration)
@@ -365,6 +516,7 @@
             }
         }
         let entry = self.entries.swap_remove(&key)?;
+        self.hash ^= entry.hash(&key);
         Some(Applied::Removed(key, entry.record))
     }
 }
--- a/src/entry/fleet/replica/tests.rs
+++ b/src/entry/fleet/replica/tests.rs
@@ -1,3 +1,5 @@
+mod orders;
+
 use std::sync::Arc;
 
 use arbtest::arbitrary::{Result, Unstructured};
--- a/src/entry/fleet/source.rs
+++ b/src/entry/fleet/source.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::entry::fleet::replica::Position;
+use crate::entry::fleet::replica::{Position, Replica, Summary};
 use crate::entry::target::placement::index_for_draw;
 use crate::units::Time;
 
@@ -11,6 +11,18 @@
 /// transfer takes.
 const BUSY_TIME: Duration = Duration::from_millis(150);
 
+/// What this instance lacks of a peer's copy of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Lacking {
+    /// The changes after its own newest one.
+    Changes,
+    /// A newer configuration at a revision that it has already. The store may hold an invalid
+    /// one there, so that an instance that has just started found none.
+    Configuration,
+    /// Unknown: the records differ, though the newest change is the same.
+    Unknown,
+}
+
 /// A live peer with changes that this instance lacks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Source {
@@ -18,10 +30,40 @@
     pub address: SocketAddr,
     /// Whether it is in this instance's zone.
     pub same_zone: bool,
-    /// Position of its newest change.
-    pub position: Position,
+    /// What it tells of its copy.
+    pub summary: Summary,
     /// Version of its configuration.
     pub version: u64,
+    /// What to ask it for.
+    pub lacking: Lacking,
+}
+
+impl Lacking {
+    /// What a copy, with the configuration of `version`, lacks of a peer's. `compare` says
+    /// whether to compare copies that contradict each other.
+    pub(crate) fn of(
+        replica: &Replica,
+        version: u64,
+        peer: Summary,
+        peer_version: u64,
+        compare: bool,
+    ) -> Option<Self> {
+        if peer.position > replica.content_position() {
+            Some(Self::Changes)
+        } else if peer_version > version {
+            Some(Self::Configuration)
+        } else {
+            (compare && replica.contradicts(peer)).then_some(Self::Unknown)
+        }
+    }
+
+    /// The position after which to ask for it: the default for everything.
+    pub(crate) fn position(self, replica: &Replica) -> Position {
+        match self {
+            Self::Changes => replica.fetch_position(),
+            Self::Configuration | Self::Unknown => Position::default(),
+        }
+    }
 }
 
 /// Peers that did not send the changes they were asked for.
@@ -74,7 +116,7 @@
         (
             !avoided.failed.contains(&source.address),
             source.same_zone,
-            source.position,
+            source.summary.position,
             source.version,
         )
     };
--- a/src/entry/fleet/source/tests.rs
+++ b/src/entry/fleet/source/tests.rs
@@ -48,8 +48,12 @@
             .map(|index| Source {
                 address: address(index),
                 same_zone: true,
-                position: Position::default(),
+                summary: Summary {
+                    position: Position::default(),
+                    digest: None,
+                },
                 version: 2,
+                lacking: Lacking::Changes,
             })
             .collect();
         let mut sending = vec![0; instances.len()];
@@ -102,8 +106,12 @@
     let source = |index, same_zone| Source {
         address: address(index),
         same_zone,
-        position: Position::default(),
+        summary: Summary {
+            position: Position::default(),
+            digest: None,
+        },
         version: 2,
+        lacking: Lacking::Changes,
     };
     let sources = [source(1, true), source(2, true), source(3, false)];
     let mut avoided = Avoided::default();
--- a/src/entry/fleet/sync.rs
+++ b/src/entry/fleet/sync.rs
@@ -182,7 +182,7 @@
     let progress = store_client.progress();
     let change_set = tokio::select! {
         change_set = store_client.watch(position, wait) => change_set?,
-        () = watch_stalled(shared, &progress) => {
+        () = watch_stalled(shared, position, &progress) => {
             store_client.disconnect();
             return Err(StoreError::OutcomeUnknown("peers have newer changes than this watch".into()));
         }
@@ -206,11 +206,10 @@
     }
 }
 
-/// Returns once peers have had changes for [`STALL_TIMEOUT`] that the own watch has not
-/// delivered, and nothing of its response has arrived for as long.
-async fn watch_stalled(shared: &Shared, progress: &ResponseProgress) {
-    let start = shared.state().replica.content_position();
-    while shared.state().replica.content_position() == start {
+/// Returns once peers have had changes for [`STALL_TIMEOUT`] that the own watch after `start`
+/// has not delivered, and nothing of its response has arrived for as long.
+async fn watch_stalled(shared: &Shared, start: Position, progress: &ResponseProgress) {
+    while shared.state().replica.content_position() <= start {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     let mut since = Instant::now();
--- a/src/entry/state/changes.rs
+++ b/src/entry/state/changes.rs
@@ -2,7 +2,7 @@
 
 use super::State;
 use crate::account::AccountTable;
-use crate::entry::fleet::replica::{Applied, Delta};
+use crate::entry::fleet::replica::{Applied, Delta, Summary};
 use crate::entry::model::Record;
 use crate::entry::request::routes::RouteTable;
 use crate::units::Time;
@@ -48,11 +48,24 @@
         if !self.rollouts.is_empty() {
             self.update_rollouts(now, is_first);
         }
-        let position = self.replica.content_position();
-        (self.status.era, self.status.revision) = (position.era, position.revision);
+        self.update_status();
         !applied.is_empty()
     }
 
+    /// Takes over what the status of a peer shows of the store; see
+    /// [`Replica::take_summary`](crate::entry::fleet::replica::Replica::take_summary).
+    pub(crate) fn take_summary(&mut self, peer: Summary) {
+        self.replica.take_summary(peer);
+        self.update_status();
+    }
+
+    /// Updates what this instance tells its peers of its replica.
+    fn update_status(&mut self) {
+        let Summary { position, digest } = self.replica.summary();
+        (self.status.era, self.status.revision) = (position.era, position.revision);
+        self.status.digest = digest;
+    }
+
     /// Turns the records of a copy that are older than what is known here into removals, so
     /// that they count only once they are written again.
     fn remove_outdated(&self, now: Time, delta: &mut Delta) {
