--- a/src/entry/fleet/changes.rs
+++ b/src/entry/fleet/changes.rs
@@ -16,7 +16,7 @@
 
 use crate::entry::fleet::comparison::Comparisons;
 use crate::entry::fleet::message::{self, MAX_FRAME};
-use crate::entry::fleet::replica::{Delta, Digest, Position, Summary};
+use crate::entry::fleet::replica::{Checksum, Delta, Position, Summary};
 use crate::entry::fleet::source::{self, Avoided, Lacking, Source};
 use crate::entry::shared::Shared;
 use crate::units::Time;
@@ -88,7 +88,7 @@
 struct Fetched {
     source: Source,
     /// The own copy when the fetch was started.
-    own: Digest,
+    own: Checksum,
     from: Position,
     started: Time,
     /// The changes; `None` if the source was busy.
@@ -113,7 +113,7 @@
         self.asked.iter().any(|(known, _)| *known == peer)
     }
 
-    fn start(&mut self, source: Source, own: Digest, from: Position, started: Time) {
+    fn start(&mut self, source: Source, own: Checksum, from: Position, started: Time) {
         self.asked.push((source.address, started));
         self.running.push(Box::pin(async move {
             Fetched {
@@ -181,7 +181,7 @@
         }
         let (own, from) = {
             let replica = &shared.state().replica;
-            (replica.digest(), source.lacking.position(replica))
+            (replica.checksum(), source.lacking.position(replica))
         };
         fetches.start(*source, own, from, now);
     }
@@ -239,8 +239,8 @@
         newest_change = source.summary.position.revision,
         own_revision = state.replica.revision(),
         peer_revision = delta.revision,
-        own = ?state.replica.digest(),
-        peers = ?source.summary.digest,
+        own = ?state.replica.checksum(),
+        peers = ?source.summary.checksum,
         "records of a peer differ though its newest change is the same; comparing"
     );
     let delta = state.replica.as_contradiction(delta, source.summary);
--- a/src/entry/fleet/comparison.rs
+++ b/src/entry/fleet/comparison.rs
@@ -8,7 +8,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::entry::fleet::replica::{Digest, Replica, Summary};
+use crate::entry::fleet::replica::{Checksum, Replica, Summary};
 use crate::units::Time;
 
 /// Time for which copies must contradict each other until an instance compares that knows
@@ -22,7 +22,7 @@
 pub(crate) struct Comparisons {
     contradicted_since: Option<Time>,
     /// The own copy and that of a peer.
-    done: VecDeque<(Digest, Summary)>,
+    done: VecDeque<(Checksum, Summary)>,
 }
 
 impl Comparisons {
@@ -33,16 +33,16 @@
             return false;
         }
         let since = *self.contradicted_since.get_or_insert(now);
-        !replica.digest().knows_removals || now.since(since) >= PATIENCE
+        !replica.checksum().knows_removals || now.since(since) >= PATIENCE
     }
 
     /// Whether a peer's copy contradicts the own one, and the two were not compared yet.
     pub(crate) fn is_new(&self, replica: &Replica, peer: Summary) -> bool {
-        replica.contradicts(peer) && !self.done.contains(&(replica.digest(), peer))
+        replica.contradicts(peer) && !self.done.contains(&(replica.checksum(), peer))
     }
 
-    /// Records that the own copy, with this digest, was compared with a peer's.
-    pub(crate) fn record(&mut self, own: Digest, peer: Summary) {
+    /// Records that the own copy, with this checksum, was compared with a peer's.
+    pub(crate) fn record(&mut self, own: Checksum, peer: Summary) {
         if self.done.len() >= MAX_DONE {
             self.done.pop_front();
         }
--- a/src/entry/fleet/comparison/tests.rs
+++ b/src/entry/fleet/comparison/tests.rs
@@ -16,7 +16,7 @@
 fn summary(revision: u64, hash: u32) -> Summary {
     Summary {
         position: Position { era: 0, revision },
-        digest: Some(Digest {
+        checksum: Some(Checksum {
             hash,
             knows_removals: true,
         }),
@@ -39,16 +39,16 @@
 fn a_comparison_is_not_repeated_until_a_copy_changes() {
     let replica = read_at(5);
     let mut comparisons = Comparisons::default();
-    comparisons.record(replica.digest(), summary(0, 1));
+    comparisons.record(replica.checksum(), summary(0, 1));
     assert!(!comparisons.are_due(Time::ZERO, &replica, &[summary(0, 1)]));
     assert!(comparisons.are_due(Time::ZERO, &replica, &[summary(0, 1), summary(0, 2)]));
 }
 
 #[test]
-fn copies_with_other_newest_changes_or_unknown_digests_are_not_compared() {
+fn copies_with_other_newest_changes_or_unknown_checksums_are_not_compared() {
     let (comparisons, replica) = (Comparisons::default(), read_at(5));
     let unknown = Summary {
-        digest: None,
+        checksum: None,
         ..summary(0, 1)
     };
     assert!(!comparisons.is_new(&replica, summary(4, 1)));
--- a/src/entry/fleet/members.rs
+++ b/src/entry/fleet/members.rs
@@ -10,7 +10,7 @@
 use siphasher::sip::SipHasher13;
 
 use crate::entry::fleet::message::{Heartbeat, MAX_RELAYED, RelayedStatus};
-use crate::entry::fleet::replica::{Digest, Position, Summary};
+use crate::entry::fleet::replica::{Checksum, Position, Summary};
 use crate::entry::fleet::watchers::{StoreAccess, Watcher};
 use crate::entry::model::Target;
 use crate::entry::target::placement::index_for_draw;
@@ -76,7 +76,7 @@
     pub revision: u64,
     /// What identifies the records in its replica, encoded like `era`; `None` from earlier releases.
     #[serde(skip)]
-    pub digest: Option<Digest>,
+    pub checksum: Option<Checksum>,
     /// Version of its configuration; 0 before the first one.
     pub version: u64,
 }
@@ -96,7 +96,7 @@
     pub fn summary(&self) -> Summary {
         Summary {
             position: self.position(),
-            digest: self.digest,
+            checksum: self.checksum,
         }
     }
 }
--- a/src/entry/fleet/message.rs
+++ b/src/entry/fleet/message.rs
@@ -11,7 +11,7 @@
 use crate::account::Account;
 use crate::dispatch::quarantine::{Case, Evidence};
 use crate::entry::fleet::members::InstanceStatus;
-use crate::entry::fleet::replica::{Delta, Digest, Position};
+use crate::entry::fleet::replica::{Checksum, Delta, Position};
 use crate::entry::model::{Change, Record, Target};
 use crate::entry::target::load::Load;
 use crate::entry::target::target_limit::NamedLimit;
@@ -217,11 +217,11 @@
 
 /// What follows a [`LeavingExtension`], where earlier releases ignore it.
 #[derive(Debug, Default, Serialize, Deserialize)]
-struct DigestExtension {
+struct ChecksumExtension {
     /// What identifies the records in the sender's replica.
-    digest: Option<Digest>,
+    checksum: Option<Checksum>,
     /// The same of the relayed statuses, in their order.
-    relayed_digests: Vec<Option<Digest>>,
+    relayed_checksums: Vec<Option<Checksum>>,
 }
 
 /// Encodes a heartbeat. Statuses of other zones' instances, for peers in the same zone,
@@ -249,11 +249,11 @@
     let leaving = LeavingExtension {
         leaving: heartbeat.leaving.clone(),
     };
-    let digests = DigestExtension {
-        digest: heartbeat.status.digest,
-        relayed_digests: relayed
+    let checksums = ChecksumExtension {
+        checksum: heartbeat.status.checksum,
+        relayed_checksums: relayed
             .iter()
-            .map(|relayed| relayed.status.digest)
+            .map(|relayed| relayed.status.checksum)
             .collect(),
     };
     let mut bytes = encode(&Datagram::Heartbeat(Box::new(heartbeat)))?;
@@ -261,7 +261,7 @@
     bytes.extend(postcard::to_stdvec(&extension)?);
     bytes.extend(postcard::to_stdvec(&reach)?);
     bytes.extend(postcard::to_stdvec(&leaving)?);
-    bytes.extend(postcard::to_stdvec(&digests)?);
+    bytes.extend(postcard::to_stdvec(&checksums)?);
     Ok(bytes)
 }
 
@@ -282,11 +282,11 @@
     let (extension, rest): (HeartbeatExtension, &[u8]) = postcard::take_from_bytes(rest)?;
     let (reach, rest): (ReachExtension, &[u8]) = take_extension(rest)?;
     let (leaving, rest): (LeavingExtension, &[u8]) = take_extension(rest)?;
-    let (digests, _): (DigestExtension, &[u8]) = take_extension(rest)?;
+    let (checksums, _): (ChecksumExtension, &[u8]) = take_extension(rest)?;
     if let Datagram::Heartbeat(heartbeat) = &mut datagram {
         heartbeat.status.era = extension.era;
         heartbeat.status.cut_off = reach.cut_off;
-        heartbeat.status.digest = digests.digest;
+        heartbeat.status.checksum = checksums.checksum;
         heartbeat.evidence = extension.evidence;
         heartbeat.limits = extension.limits;
         heartbeat.leaving = leaving.leaving;
@@ -297,8 +297,8 @@
     for (relayed, cut_off) in relayed.iter_mut().zip(reach.relayed_cut_off) {
         relayed.status.cut_off = cut_off;
     }
-    for (relayed, digest) in relayed.iter_mut().zip(digests.relayed_digests) {
-        relayed.status.digest = digest;
+    for (relayed, checksum) in relayed.iter_mut().zip(checksums.relayed_checksums) {
+        relayed.status.checksum = checksum;
     }
     Ok((datagram, relayed))
 }
--- a/src/entry/fleet/message/tests.rs
+++ b/src/entry/fleet/message/tests.rs
@@ -1,8 +1,8 @@
 use super::*;
 use crate::dispatch::quarantine::{CrashId, MAX_CRASHES};
 
-/// A digest of the largest size.
-const DIGEST: Digest = Digest {
+/// A checksum of the largest size.
+const CHECKSUM: Checksum = Checksum {
     hash: u32::MAX,
     knows_removals: true,
 };
@@ -87,7 +87,7 @@
             store: crate::entry::fleet::watchers::StoreAccess::Lost,
             era: u64::MAX,
             revision: u64::MAX,
-            digest: Some(DIGEST),
+            checksum: Some(CHECKSUM),
             version: u64::MAX,
         },
         reports: vec![
@@ -173,27 +173,27 @@
     }
 }
 
-/// Length of the extension for digests if there are none, with as many relayed statuses.
-fn digest_length(relayed: usize) -> usize {
-    let digests = DigestExtension {
-        digest: None,
-        relayed_digests: vec![None; relayed],
+/// Length of the extension for checksums if there are none, with as many relayed statuses.
+fn checksum_length(relayed: usize) -> usize {
+    let checksums = ChecksumExtension {
+        checksum: None,
+        relayed_checksums: vec![None; relayed],
     };
-    postcard::to_stdvec(&digests).unwrap().len()
+    postcard::to_stdvec(&checksums).unwrap().len()
 }
 
 #[test]
-fn digests_are_told_also_beside_releases_that_do_not() {
-    let with_digest = |digest, era| InstanceStatus {
-        digest,
+fn checksums_are_told_also_beside_releases_that_do_not() {
+    let with_checksum = |checksum, era| InstanceStatus {
+        checksum,
         ..heartbeat(era).status
     };
     let sent = Heartbeat {
-        status: with_digest(Some(DIGEST), 4),
+        status: with_checksum(Some(CHECKSUM), 4),
         ..heartbeat(4)
     };
-    let statuses = [Some(DIGEST), None].map(|digest| RelayedStatus {
-        status: with_digest(digest, 2),
+    let statuses = [Some(CHECKSUM), None].map(|checksum| RelayedStatus {
+        status: with_checksum(checksum, 2),
         ..relayed(2)
     });
     let bytes = encode_heartbeat(sent.clone(), &statuses).unwrap();
@@ -203,16 +203,16 @@
         (Datagram::Heartbeat(Box::new(sent)), Vec::from(statuses))
     );
     // A release without them sends and decodes a heartbeat up to this extension.
-    let digests = postcard::to_stdvec(&DigestExtension {
-        digest: Some(DIGEST),
-        relayed_digests: vec![Some(DIGEST), None],
+    let checksums = postcard::to_stdvec(&ChecksumExtension {
+        checksum: Some(CHECKSUM),
+        relayed_checksums: vec![Some(CHECKSUM), None],
     });
-    let earlier = &bytes[..bytes.len() - digests.unwrap().len()];
+    let earlier = &bytes[..bytes.len() - checksums.unwrap().len()];
     let (Datagram::Heartbeat(decoded), relayed) = decode_datagram(earlier).unwrap() else {
         panic!("not a heartbeat");
     };
-    assert_eq!(decoded.status.digest, None);
-    assert_eq!(relayed[0].status.digest, None);
+    assert_eq!(decoded.status.checksum, None);
+    assert_eq!(relayed[0].status.checksum, None);
 }
 
 #[test]
@@ -292,7 +292,7 @@
         relayed_cut_off: vec![true, false],
     });
     let leaving = postcard::to_stdvec(&LeavingExtension::default());
-    let later = reach.unwrap().len() + leaving.unwrap().len() + digest_length(2);
+    let later = reach.unwrap().len() + leaving.unwrap().len() + checksum_length(2);
     let earlier = &bytes[..bytes.len() - later];
     let (Datagram::Heartbeat(decoded), _) = decode_datagram(earlier).unwrap() else {
         panic!("not a heartbeat");
@@ -327,7 +327,7 @@
     let leaving = postcard::to_stdvec(&LeavingExtension {
         leaving: sent.leaving.clone(),
     });
-    let later = leaving.unwrap().len() + digest_length(1);
+    let later = leaving.unwrap().len() + checksum_length(1);
     let earlier = &bytes[..bytes.len() - later];
     let (Datagram::Heartbeat(decoded), _) = decode_datagram(earlier).unwrap() else {
         panic!("not a heartbeat");
--- a/src/entry/fleet/replica.rs
+++ b/src/entry/fleet/replica.rs
@@ -56,13 +56,13 @@
     /// Position of the newest change.
     pub position: Position,
     /// What identifies its records; `None` from earlier releases.
-    pub digest: Option<Digest>,
+    pub checksum: Option<Checksum>,
 }
 
 data! {
     /// Identifies the records of a copy.
     #[derive(Copy, Eq)]
-    pub struct Digest {
+    pub struct Checksum {
         /// Hash of the keys and revisions of all records but the configuration, whose revision
         /// may differ between instances.
         pub hash: u32,
@@ -90,7 +90,7 @@
 }
 
 impl Entry {
-    /// Its part of [`Digest::hash`].
+    /// Its part of [`Checksum::hash`].
     fn hash(&self, key: &str) -> u32 {
         if matches!(self.record, Record::Configuration(_)) {
             return 0;
@@ -107,7 +107,7 @@
     revision: u64,
     content_revision: u64,
     entries: IndexMap<Arc<str>, Entry>,
-    /// See [`Digest::hash`].
+    /// See [`Checksum::hash`].
     hash: u32,
     tombstones: VecDeque<(u64, Arc<str>)>,
     /// Removals up to this revision may no longer be known.
@@ -148,9 +148,9 @@
 
     /// What identifies the records of this copy.
     #[must_use]
-    pub fn digest(&self) -> Digest {
+    pub fn checksum(&self) -> Checksum {
         let last = self.covered.back();
-        Digest {
+        Checksum {
             hash: self.hash,
             knows_removals: self.content_revision <= self.revision
                 && last.is_some_and(|range| *range.start() <= self.content_revision),
@@ -162,7 +162,7 @@
     pub fn summary(&self) -> Summary {
         Summary {
             position: self.content_position(),
-            digest: Some(self.digest()),
+            checksum: Some(self.checksum()),
         }
     }
 
@@ -171,7 +171,9 @@
     #[must_use]
     pub fn contradicts(&self, peer: Summary) -> bool {
         peer.position == self.content_position()
-            && peer.digest.is_some_and(|digest| digest.hash != self.hash)
+            && peer
+                .checksum
+                .is_some_and(|checksum| checksum.hash != self.hash)
     }
 
     /// The position after which to ask a peer for changes: that of the newest change, which
@@ -181,7 +183,7 @@
     pub fn fetch_position(&self) -> Position {
         if self.content_revision > self.revision {
             Position::default()
-        } else if self.digest().knows_removals {
+        } else if self.checksum().knows_removals {
             self.content_position()
         } else {
             self.position()
@@ -197,7 +199,9 @@
             return;
         }
         self.content_revision = self.content_revision.max(revision);
-        let is_same = peer.digest.is_some_and(|digest| digest.hash == self.hash);
+        let is_same = peer
+            .checksum
+            .is_some_and(|checksum| checksum.hash == self.hash);
         if is_same && peer.position == self.content_position() {
             self.cover_from(peer);
         }
@@ -208,8 +212,8 @@
     /// must get no requests, and one that did not writes its record again.
     #[must_use]
     pub fn as_contradiction(&self, mut delta: Delta, peer: Summary) -> Delta {
-        let knows_removals = |digest: Digest| digest.knows_removals;
-        if delta.era == self.era && peer.digest.is_some_and(knows_removals) {
+        let knows_removals = |checksum: Checksum| checksum.knows_removals;
+        if delta.era == self.era && peer.checksum.is_some_and(knows_removals) {
             delta.revision = self.revision;
         }
         delta
@@ -221,7 +225,9 @@
     pub fn cover_from(&mut self, peer: Summary) {
         let Position { era, revision } = peer.position;
         if era == self.era
-            && peer.digest.is_some_and(|digest| digest.knows_removals)
+            && peer
+                .checksum
+                .is_some_and(|checksum| checksum.knows_removals)
             && let Some(last) = self.covered.back_mut()
         {
             *last = revision.min(*last.start())..=*last.end();
--- a/src/entry/fleet/replica/tests/orders.rs
+++ b/src/entry/fleet/replica/tests/orders.rs
@@ -191,7 +191,7 @@
         let (summary, peer, lacking) = best[draw % best.len()];
         let delta = peer.replica.delta_since(lacking.position(&self.replica));
         if *lacking == Lacking::Unknown {
-            self.comparisons.record(self.replica.digest(), *summary);
+            self.comparisons.record(self.replica.checksum(), *summary);
             let delta = self.replica.as_contradiction(delta, *summary);
             self.replica.apply(delta);
             self.replica.cover_from(*summary);
--- a/src/entry/fleet/source/tests.rs
+++ b/src/entry/fleet/source/tests.rs
@@ -50,7 +50,7 @@
                 same_zone: true,
                 summary: Summary {
                     position: Position::default(),
-                    digest: None,
+                    checksum: None,
                 },
                 version: 2,
                 lacking: Lacking::Changes,
@@ -108,7 +108,7 @@
         same_zone,
         summary: Summary {
             position: Position::default(),
-            digest: None,
+            checksum: None,
         },
         version: 2,
         lacking: Lacking::Changes,
--- a/src/entry/state/changes.rs
+++ b/src/entry/state/changes.rs
@@ -61,9 +61,9 @@
 
     /// Updates what this instance tells its peers of its replica.
     fn update_status(&mut self) {
-        let Summary { position, digest } = self.replica.summary();
+        let Summary { position, checksum } = self.replica.summary();
         (self.status.era, self.status.revision) = (position.era, position.revision);
-        self.status.digest = digest;
+        self.status.checksum = checksum;
     }
 
     /// Turns the records of a copy that are older than what is known here into removals, so
