Count the time for expired leases from the store's return

Targets whose leases expired are back within about two seconds of the store's return. A removed target is now used until 2.2 s after the return as it is known, whenever its removal arrives, and later ones are removed at once.

Evidence: a_removed_target_is_used_only_until_live_ones_are_back_after_an_outage failed with the time counted from the removal. The tests of the table say until when a target is retained where they said that it lapsed.

--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -38,7 +38,7 @@
 use crate::entry::target::load_curve::LoadCurve;
 use crate::entry::target::placement::Candidate;
 use crate::entry::target::selection::Reserved;
-use crate::entry::target::targets::TargetTable;
+use crate::entry::target::targets::{LAPSED_RETENTION, TargetTable};
 use crate::entry::window::{RetryBudget, RetryBudgetRule, slack_share};
 use crate::names::{ServiceName, TargetId, ZoneName};
 use crate::platform::prepared::store::RejectedRecord;
@@ -53,9 +53,9 @@
 /// Time without any instance watching the store after which the store counts as
 /// unavailable.
 const OUTAGE_AFTER: Duration = Duration::from_millis(800);
-/// Time after a store outage in which a removed target is assumed to have an expired
-/// lease and to be alive.
-const OUTAGE_RECOVERY: Duration = Duration::from_secs(3);
+/// Time after a store outage in which a removed target is assumed to have an expired lease
+/// and to be alive; live ones register again within it.
+const OUTAGE_RECOVERY: Duration = LAPSED_RETENTION;
 
 /// The state of an entry instance.
 #[derive(Debug)]
--- a/src/entry/state/changes.rs
+++ b/src/entry/state/changes.rs
@@ -5,6 +5,7 @@
 use crate::entry::fleet::replica::{Applied, Delta, Summary};
 use crate::entry::model::Record;
 use crate::entry::request::routes::RouteTable;
+use crate::entry::target::targets::LAPSED_RETENTION;
 use crate::units::Time;
 
 impl State {
@@ -66,6 +67,16 @@
         self.status.checksum = checksum;
     }
 
+    /// Until when a target whose lease expired is retained. After an outage the time counts
+    /// from the store's return: a target that is removed later has left.
+    fn lapsed_until(&self, now: Time) -> Time {
+        if now < self.recovering_until {
+            self.recovering_until
+        } else {
+            now.after(LAPSED_RETENTION)
+        }
+    }
+
     /// Turns the records of a copy that are older than what is known here into removals, so
     /// that they count only once they are written again.
     fn remove_outdated(&self, now: Time, delta: &mut Delta) {
@@ -107,7 +118,10 @@
                 Record::Configuration(_) => {}
             },
             Applied::Removed(key, record) => match record {
-                Record::Target(target) => self.targets.remove(now, &target.id, lapsed),
+                Record::Target(target) => {
+                    let retained_until = lapsed.then(|| self.lapsed_until(now));
+                    self.targets.remove(now, &target.id, retained_until);
+                }
                 Record::Evacuation(zone) if lapsed => {
                     self.targets.retain_evacuation(now, zone.clone());
                 }
@@ -162,3 +176,6 @@
         Record::RolloutDecision(_) => "decided",
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/entry/target/targets.rs
+++ b/src/entry/target/targets.rs
@@ -20,7 +20,7 @@
 
 /// Time for which a target whose lease expired during a store outage is kept. Live
 /// targets register again within two seconds of the store's return.
-const LAPSED_RETENTION: Duration = Duration::from_millis(2200);
+pub(crate) const LAPSED_RETENTION: Duration = Duration::from_millis(2200);
 /// Time for which a zone stays evacuated after the store returned from a copy without its
 /// evacuation, until the operator writes it again.
 const EVACUATION_RETENTION: Duration = Duration::from_secs(5);
@@ -114,16 +114,11 @@
             .collect()
     }
 
-    /// Removes a target. When its lease may have expired during a store outage,
-    /// `lapsed` keeps it for [`LAPSED_RETENTION`], as it may be alive.
-    pub fn remove(&mut self, now: Time, id: &TargetId, lapsed: bool) {
+    /// Removes a target. One whose lease may have expired, and that may be alive, is used
+    /// until `retained_until`.
+    pub fn remove(&mut self, now: Time, id: &TargetId, retained_until: Option<Time>) {
         if let Some(view) = self.views.get_mut(id) {
-            let until = if lapsed {
-                now.after(LAPSED_RETENTION)
-            } else {
-                now
-            };
-            view.removed_at = Some(until);
+            view.removed_at = Some(retained_until.unwrap_or(now));
         }
     }
 
--- a/src/entry/target/targets/tests.rs
+++ b/src/entry/target/targets/tests.rs
@@ -49,7 +49,7 @@
         table.put(NOW, target("t"));
         let reason = unusable_reason(&mut table, NOW);
         assert_eq!(reason, Some(UnusableReason::Leaving));
-        table.remove(NOW, &"t".into(), false);
+        table.remove(NOW, &"t".into(), None);
         table.drop_removed(NOW);
     }
     table.put(
@@ -69,7 +69,7 @@
     let view = table.get_mut(&"t".into()).unwrap();
     view.notice.record_pause(NOW, wanted);
     assert!(!view.try_check(NOW));
-    table.remove(NOW, &"t".into(), false);
+    table.remove(NOW, &"t".into(), None);
     table.drop_removed(NOW);
     table.put(NOW, target("t"));
     let reason = unusable_reason(&mut table, NOW);
@@ -97,7 +97,7 @@
     );
     table.put(NOW, target("t"));
     assert_eq!(unusable_reason(&mut table, NOW), None);
-    table.remove(NOW, &"t".into(), false);
+    table.remove(NOW, &"t".into(), None);
     assert_eq!(
         unusable_reason(&mut table, NOW),
         Some(UnusableReason::Leaving)
@@ -107,7 +107,7 @@
 #[test]
 fn a_target_with_an_expired_lease_is_kept_until_it_could_register_again() {
     let mut table = table(target("t"));
-    table.remove(NOW, &"t".into(), true);
+    table.remove(NOW, &"t".into(), Some(NOW.after(LAPSED_RETENTION)));
     assert_eq!(
         unusable_reason(&mut table, NOW.after(Duration::from_secs(2))),
         None
