--- a/src/entry/fleet/changes.rs
+++ b/src/entry/fleet/changes.rs
@@ -230,7 +230,9 @@
     }
 }
 
-/// Applies a copy that contradicts the own one.
+/// Applies a peer's copy that contradicts the own one; see [`Replica::as_contradiction`].
+///
+/// [`Replica::as_contradiction`]: crate::entry::fleet::replica::Replica::as_contradiction
 fn compare(shared: &Shared, source: &Source, delta: Delta) {
     let now = shared.now();
     let mut state = shared.state();
--- a/src/entry/fleet/replica.rs
+++ b/src/entry/fleet/replica.rs
@@ -4,6 +4,10 @@
 //! than once; each key keeps the record with its highest revision. A configuration is
 //! never replaced by an older version.
 //!
+//! A removal leaves nothing behind that could be read later. A copy therefore keeps recent
+//! removals for its peers, and knows from which revisions on it knows all of them; see
+//! `covered`. What a copy lacks all the same is found by its [`Checksum`].
+//!
 //! When the store was restored from a copy, its revisions start again at an earlier one.
 //! They are comparable only within an era, which ends with each restore; a complete read
 //! of a later era replaces everything but a newer configuration.
@@ -315,8 +319,8 @@
         }
     }
 
-    /// Whether a record of a copy that is not newer is missing here: this copy is complete up to its
-    /// revision, so the record was removed.
+    /// Whether a record of a copy that is not newer is missing here: this copy is complete up
+    /// to its revision, so the record was removed.
     fn is_removed_since(&self, change: &Change) -> bool {
         let is_configuration = matches!(change.record, Some(Record::Configuration(_)));
         change.record.is_some()
