--- a/src/http1/tests/body.rs
+++ b/src/http1/tests/body.rs
@@ -170,3 +170,45 @@
     })
     .budget_ms(2_000);
 }
+
+/// Its request went on to a target, up to a second after the client had left.
+#[tokio::test]
+async fn a_client_that_leaves_while_its_body_has_no_space_is_noticed() {
+    const BODY_BYTES: usize = 48 << 10;
+    let (started, mut starts) = tokio::sync::mpsc::unbounded_channel();
+    let (_shutdown, phase) = watch::channel(ShutdownPhase::Serving);
+    let context = ServerContext {
+        handler: move |_: Request, _| {
+            let (running, started) = (tokio::sync::oneshot::channel::<()>(), started.clone());
+            started.send(running.1).unwrap();
+            async move {
+                std::future::pending::<()>().await;
+                drop(running.0);
+                Reply::empty(200)
+            }
+        },
+        limits: Box::new(|| RequestLimits {
+            max_body_bytes: BODY_BYTES,
+            ..limits()
+        }),
+        may_run_ahead: Box::new(|_, _| false),
+        rejected: Box::new(Rejection::reply),
+        body_memory: Arc::new(BodyMemory::new(0, 0)),
+        shutdown: phase,
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (stream, peer) = listener.accept().await.unwrap();
+        serve(stream, peer, &context).await;
+    });
+    let mut client = TcpStream::connect(address).await.unwrap();
+    let head = format!("POST /x HTTP/1.1\r\nhost: x\r\ncontent-length: {BODY_BYTES}\r\n\r\n");
+    client.write_all(head.as_bytes()).await.unwrap();
+    client.write_all(&vec![b'x'; BODY_BYTES]).await.unwrap();
+    let ended = starts.recv().await.unwrap();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    drop(client);
+    let ended = tokio::time::timeout(Duration::from_millis(500), ended).await;
+    assert!(ended.is_ok(), "the request goes on");
+}
