Let requests wait by their callers' time, not by the latency objective

What callers saw: with 4 targets of 6 slots, work of 200 ms and a burst of 160 requests (1.3 s of work), 14, 9 or fewer of 54 callers with 2 s were answered and the others were refused, though the targets were idle 1.3 s later. Others queued by the objective until their deadlines had passed, though it was known that their turn would come too late.

Cause: queue_place, placement and selection reckoned waits, refusals, order and pauses by the time left to the objective; a late request got spare slots only.

Change: a request waits while the work ahead of it and its own end within its caller's time, and is refused on arrival otherwise, or as soon as targets are lost, slow down, or urgent work comes in front. The order is by priority, fair share, and when each must start. A newcomer does not take the turn of one that would then be too late. The reckoning follows the slots that become free (target::supply): the equal share of the slots or those held if more, when own requests should end, the mean speed over a second, rates of cold and limited targets. A free slot at a slow target is taken unless waiting for a faster one is expected to answer sooner.

Evidence: tests/entry_bursts failed before (9 of 54 answered; 16 of 240 answered where two rounds of 24 fit).

--- a/src/entry/request/forward.rs
+++ b/src/entry/request/forward.rs
@@ -319,12 +319,13 @@
         let now = self.shared.now();
         let service_time = self.service_time();
         let requirements = self.requirements(service_time);
+        let objective_left = self.objective_left();
         let mut state = self.shared.state();
         let slowness = state.slowness(now, self.tried.last()?);
         self.progress
             .advance(HEDGE_CHECK_INTERVAL, service_time, slowness);
         let current = self.progress.remaining(service_time, slowness);
-        if !hedge::is_worthwhile(current, service_time, requirements.objective_left) {
+        if !hedge::is_worthwhile(current, service_time, objective_left) {
             return None;
         }
         let service = &self.admitted.service;
@@ -334,7 +335,7 @@
             .ok()?;
         let alternative =
             placement::expected_duration(&choice.candidate, service_time, &state.tuning.placement);
-        if !hedge::is_worthwhile(current, alternative, requirements.objective_left) {
+        if !hedge::is_worthwhile(current, alternative, objective_left) {
             state.release(choice.reserved());
             return None;
         }
--- a/src/entry/request/forward/queue_place.rs
+++ b/src/entry/request/forward/queue_place.rs
@@ -7,7 +7,7 @@
 use super::{Call, millis};
 use crate::entry::request::outcome::{Refusal, return_after};
 use crate::entry::request::retry::AttemptHistory;
-use crate::entry::request::wait_queue::{Ticket, expected_wait};
+use crate::entry::request::wait_queue::Ticket;
 use crate::entry::target::selection::{ChosenTarget, NoTarget};
 
 /// A request's place in the wait queue. Dropping it removes the request from the queue.
@@ -59,45 +59,46 @@
         Ok(choice)
     }
 
-    /// Joins the queue, or refuses the request with a time to retry after if it can no
-    /// longer finish within its objective.
+    /// Joins the queue, or refuses the request with a time to retry after if the work ahead of
+    /// it and its own no longer end within its caller's time.
     pub(super) fn enqueue_or_refuse(&mut self) -> Result<(), Refusal> {
         let call = self.call;
         let service_time = call.service_time();
-        let left = call.requirements(service_time).objective_left;
-        if self.ticket.is_some() {
-            return if service_time > left {
-                Err(self.refuse())
-            } else {
+        let left = call.requirements(service_time).deadline_left;
+        let now = call.shared.now();
+        let service = &call.admitted.service;
+        let mut state = call.shared.state();
+        let supply = state.supply(now, service, service_time);
+        let queue = state.wait_queues.entry(service.clone()).or_default();
+        if let Some(ticket) = &self.ticket {
+            queue.review(now, &supply);
+            return if queue.contains(ticket) {
                 Ok(())
+            } else {
+                drop(state);
+                Err(self.refuse())
             };
         }
-        let now = call.shared.now();
-        let mut state = call.shared.state();
-        let slots = state.slot_share(&call.admitted.service);
-        let queue = state
-            .wait_queues
-            .entry(call.admitted.service.clone())
-            .or_default();
         let flow = call.admitted.flow();
-        let wait = expected_wait(queue.ahead_of(&flow), slots, service_time);
-        if wait + service_time > left {
+        let wait = queue.expected_wait(&flow, &supply);
+        let deadline = now.after(left);
+        self.ticket = queue.try_enqueue(now, flow, deadline, service_time, &supply);
+        if self.ticket.is_none() {
             drop(state);
             return Err(self.refuse());
         }
-        let due = now.after(left);
-        self.ticket = Some(queue.enqueue(flow, due, service_time));
         tracing::info!(
             request = &*call.outbound.id,
-            service = %call.admitted.service,
+            %service,
             account = call.admitted.account_name(),
             expected_ms = millis(wait),
+            left_ms = millis(left),
             "request queued"
         );
         Ok(())
     }
 
-    /// Refuses the request, which will be late whenever its caller returns.
+    /// Refuses the request, which would end after its deadline.
     fn refuse(&self) -> Refusal {
         let left = self.call.deadline.saturating_duration_since(Instant::now());
         let retry_after = return_after(left, rand::rng().random());
--- a/src/entry/request/forward/requirements.rs
+++ b/src/entry/request/forward/requirements.rs
@@ -26,14 +26,20 @@
     }
 
     pub(super) fn requirements(&self, service_time: Duration) -> Requirements {
-        let elapsed = self.outbound.started.elapsed();
+        let state = self.shared.state();
         // The crash of a target is found only after the calls on it have broken off.
-        let suspicion = self.shared.state().suspicion(self.fingerprints);
+        let suspicion = state.suspicion(self.fingerprints);
         Requirements {
             suspicion: suspicion.max(self.history.lost.min(1)),
             service_time,
-            objective_left: self.admitted.route.objective.saturating_sub(elapsed),
             deadline_left: self.deadline.saturating_duration_since(Instant::now()),
+            slot_share: 1.0 / state.instances(),
         }
     }
+
+    /// Time left to the latency objective of its route.
+    pub(super) fn objective_left(&self) -> Duration {
+        let elapsed = self.outbound.started.elapsed();
+        self.admitted.route.objective.saturating_sub(elapsed)
+    }
 }
--- a/src/entry/request/forward/tests.rs
+++ b/src/entry/request/forward/tests.rs
@@ -7,7 +7,6 @@
 use crate::entry::fleet::members::InstanceStatus;
 use crate::entry::fleet::message::RelayedStatus;
 use crate::entry::request::admission::reject;
-use crate::entry::request::wait_queue::Flow;
 use crate::entry::target::load::Load;
 use crate::entry::testing::{instance, request};
 use crate::http1::rejection::{RejectReason, Rejection};
@@ -72,11 +71,7 @@
 fn is_queued(shared: &Shared) -> bool {
     let state = shared.state();
     let queue = state.wait_queues.get(&ServiceName::from("s"));
-    let later = Flow {
-        priority: u32::MAX,
-        account: None,
-    };
-    queue.is_some_and(|queue| queue.ahead_of(&later) > 0)
+    queue.is_some_and(|queue| !queue.is_empty())
 }
 
 fn arrivals(targets: &[&TargetStandin], id: &str) -> u32 {
--- a/src/entry/rollout/targets/tests.rs
+++ b/src/entry/rollout/targets/tests.rs
@@ -75,8 +75,8 @@
     let _connection = view.connections.clone();
     let requirements = Requirements {
         service_time: Duration::from_millis(10),
-        objective_left: Duration::from_secs(1),
         deadline_left: Duration::from_secs(2),
+        slot_share: 1.0,
         suspicion: 0,
     };
     let mut counts = [0; 2];
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -38,6 +38,7 @@
 use crate::entry::target::load_curve::LoadCurve;
 use crate::entry::target::placement::Candidate;
 use crate::entry::target::selection::Reserved;
+use crate::entry::target::supply::MeanSpeed;
 use crate::entry::target::targets::{LAPSED_RETENTION, TargetTable};
 use crate::entry::window::{RetryBudget, RetryBudgetRule, slack_share};
 use crate::names::{ServiceName, TargetId, ZoneName};
@@ -85,7 +86,9 @@
     /// Typical service time of each route.
     pub service_times: ServiceTimes,
     /// Slowdown of each service's targets by their fill.
-    load_curves: IndexMap<ServiceName, LoadCurve>,
+    pub load_curves: IndexMap<ServiceName, LoadCurve>,
+    /// Mean speed of the targets of each service for which requests have waited.
+    pub mean_speeds: IndexMap<ServiceName, MeanSpeed>,
     /// Limits of client accounts.
     pub caps: AccountCaps,
     /// Status that this instance sends to its peers.
@@ -157,6 +160,7 @@
             rollouts: Rollouts::default(),
             service_times: ServiceTimes::default(),
             load_curves: IndexMap::new(),
+            mean_speeds: IndexMap::new(),
             reports: IndexMap::new(),
             unconfirmed: IndexMap::new(),
             sent_same_zone: IndexMap::new(),
@@ -350,6 +354,10 @@
     pub(crate) fn release(&mut self, reserved: Reserved) {
         if let Some(view) = self.targets.run_mut(reserved.run) {
             view.in_flight = view.in_flight.saturating_sub(1);
+            let mut ends = view.ends.iter();
+            if let Some(index) = ends.position(|known| *known == reserved.expected_end) {
+                view.ends.swap_remove(index);
+            }
             let mut suspects = view.suspects.iter();
             if let Some(index) = suspects.position(|known| *known == reserved.suspicion) {
                 view.suspects.swap_remove(index);
@@ -357,16 +365,6 @@
         }
     }
 
-    /// This instance's equal share of the slots of a service.
-    pub(crate) fn slot_share(&mut self, service: &ServiceName) -> f64 {
-        let pool = self.main_pool(service);
-        let gate = self.rollouts.gate(service);
-        let (views, _) = self.targets.service_targets(service);
-        let views = views.filter(|view| pool.contains(gate, view));
-        let slots: f64 = views.map(|view| f64::from(view.target.slots)).sum();
-        slots / self.instances()
-    }
-
     /// Path of the health check of a service's targets; `None` if it is not configured.
     pub(crate) fn health_path(&self, service: &ServiceName) -> Option<Arc<str>> {
         let services = &self.replica.configuration()?.services;
--- a/src/entry/target/mod.rs
+++ b/src/entry/target/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod precheck;
 pub(super) mod probe;
 pub(super) mod selection;
+pub(crate) mod supply;
 pub(crate) mod target_limit;
 pub(crate) mod target_path;
 pub(crate) mod targets;
--- a/src/entry/target/placement.rs
+++ b/src/entry/target/placement.rs
@@ -1,10 +1,10 @@
 //! Scoring of targets for a request.
 //!
 //! Usually most slots are free, but a quarter of the targets run several times slower
-//! for half a second at a time, and many instances select targets concurrently. Under
-//! overload, queueing work until it is late would make all work late. A request is
-//! therefore sent only to a free slot, and waits at the instance while a target could
-//! still finish it within its latency objective.
+//! for half a second at a time, and many instances select targets concurrently. A request
+//! that a target queues can't go to another one any more. It is therefore sent only to a
+//! free slot where it ends within its caller's time, and waits at the instance while it is
+//! expected to be answered sooner by a faster target that is full now.
 
 use std::time::Duration;
 
@@ -34,12 +34,6 @@
     /// Slowness assumed for a target without a recent report, in percent: the mean when
     /// a quarter of the targets run at seven times the usual.
     pub unknown_slowness: f64,
-    /// Fill of a target up to which it takes requests that have waited too long to be in
-    /// time.
-    pub spare_fill: f64,
-    /// Fraction of the time left to the latency objective within which a queued request
-    /// must be expected to finish. The rest allows for work of varying length.
-    pub objective_fraction: f64,
 }
 
 impl Default for PlacementSettings {
@@ -53,8 +47,6 @@
             cold_factor: 2.0,
             tie_margin: 0.08,
             unknown_slowness: 250.0,
-            spare_fill: 0.7,
-            objective_fraction: 0.85,
         }
     }
 }
@@ -94,10 +86,10 @@
 pub struct Requirements {
     /// Typical service time, on a target of usual speed.
     pub service_time: Duration,
-    /// Time left to the latency objective.
-    pub objective_left: Duration,
-    /// Time left to the deadline.
+    /// Time left to the deadline, until which its caller waits.
     pub deadline_left: Duration,
+    /// Fraction of the slots that become free which this instance can count on.
+    pub slot_share: f64,
     /// Crashes of targets attributed to the request; at least 1 if it broke off on one.
     pub suspicion: u32,
 }
@@ -159,30 +151,27 @@
     service_time.mul_f64(slowness * cold * candidate.load_factor)
 }
 
-/// Whether a target has capacity and is expected to finish the request within its latency
-/// objective.
+/// Whether a target has capacity and is expected to finish the request before its deadline.
 #[must_use]
 pub fn finishes_in_time(
     candidate: &Candidate,
     requirements: &Requirements,
     settings: &PlacementSettings,
 ) -> bool {
-    let objective = requirements
-        .objective_left
-        .mul_f64(settings.objective_fraction);
     has_capacity(candidate)
-        && expected_duration(candidate, requirements.service_time, settings) <= objective
+        && expected_duration(candidate, requirements.service_time, settings)
+            <= requirements.deadline_left
 }
 
 /// The index of the selected target; `draw` is in `0.0..1.0`.
 ///
-/// Targets that finish the request within its objective come first. Without one, the request
-/// is sent only if it will be late in any case, see [`may_be_late`].
+/// It is one of those with a free slot that finish the request before its deadline, unless the
+/// request is expected to be answered sooner by waiting, see [`expected_by_waiting`].
 ///
 /// Load pattern: requests that broke off together when their target crashed are retried
 /// together, and the one that caused the crash would take the others with it again. Of the
-/// targets that finish a suspect within its objective, it goes to one of those whose other
-/// suspects have the fewest crashes.
+/// targets that finish a suspect in time, it goes to one of those whose other suspects have
+/// the fewest crashes.
 #[must_use]
 pub fn choose(
     candidates: &[Candidate],
@@ -201,58 +190,51 @@
             return chosen;
         }
     }
-    let chosen = cheapest(candidates, in_time, settings, draw);
-    if chosen.is_some() || !may_be_late(candidates, requirements, settings) {
-        return chosen;
-    }
-    let late = |candidate: &Candidate| finishes_late(candidate, requirements, settings);
-    cheapest(candidates, late, settings, draw)
+    let eligible = |candidate: &Candidate| {
+        in_time(candidate) && !is_worth_waiting(candidate, candidates, requirements, settings)
+    };
+    cheapest(candidates, eligible, settings, draw)
 }
 
-/// Whether a request may be sent where it ends late: no target would finish it within its
-/// objective even with a free slot.
+/// Whether a request is expected to be answered sooner, and in time, if it waits for one of
+/// the `others` instead of going to `candidate`.
 ///
-/// Load pattern: a burst above what the targets can run. A late response is worth little,
-/// and the slot that it takes makes another request late.
+/// Load pattern: a burst fills the fast targets, and slots are free only at those in a slow
+/// spell. Work that starts there takes several times as long as the wait for a slot at one of
+/// the fast ones.
 #[must_use]
-pub fn may_be_late<'a>(
-    candidates: impl IntoIterator<Item = &'a Candidate>,
+pub fn is_worth_waiting(
+    candidate: &Candidate,
+    others: &[Candidate],
     requirements: &Requirements,
     settings: &PlacementSettings,
 ) -> bool {
-    let is_fast_enough = |candidate: &Candidate| {
-        let unloaded = Candidate {
-            occupied: 0.0,
-            load_factor: 1.0,
-            ..*candidate
-        };
-        finishes_in_time(&unloaded, requirements, settings)
-    };
-    !candidates.into_iter().any(is_fast_enough)
+    let here = expected_duration(candidate, requirements.service_time, settings);
+    expected_by_waiting(here, others, requirements, settings)
+        .is_some_and(|waiting| waiting < here && waiting <= requirements.deadline_left)
 }
 
-/// Whether a target has a slot for a request that will be late, and is expected to finish it
-/// before its deadline. A request that has waited too long only gets spare slots, as others
-/// may still be in time.
-#[must_use]
-pub fn finishes_late(
-    candidate: &Candidate,
+/// Expected time until the response if a request waits for a slot at one of the full targets
+/// that run it faster than `here`; `None` without any.
+fn expected_by_waiting(
+    here: Duration,
+    targets: &[Candidate],
     requirements: &Requirements,
     settings: &PlacementSettings,
-) -> bool {
-    let fill = (candidate.occupied + 1.0) / candidate.slots.max(1.0);
-    let has_waited = requirements.service_time
-        > requirements
-            .objective_left
-            .mul_f64(settings.objective_fraction);
-    let max_fill = if has_waited && candidate.occupied > 0.0 {
-        settings.spare_fill
-    } else {
-        1.0
-    };
-    fill <= max_fill
-        && expected_duration(candidate, requirements.service_time, settings)
-            <= requirements.deadline_left
+) -> Option<Duration> {
+    let (mut freed_per_second, mut slots, mut slot_seconds) = (0.0, 0.0, 0.0);
+    for target in targets.iter().filter(|target| !has_capacity(target)) {
+        let duration = expected_duration(target, requirements.service_time, settings);
+        if duration < here && !duration.is_zero() {
+            freed_per_second += target.slots / duration.as_secs_f64();
+            slots += target.slots;
+            slot_seconds += target.slots * duration.as_secs_f64();
+        }
+    }
+    let wait = 1.0 / (freed_per_second * requirements.slot_share);
+    let waiting = Duration::try_from_secs_f64(wait + slot_seconds / slots);
+    // There is no faster one if it is not a number.
+    waiting.ok()
 }
 
 /// Picks one of the cheapest eligible targets.
--- a/src/entry/target/precheck.rs
+++ b/src/entry/target/precheck.rs
@@ -78,8 +78,8 @@
 /// `others` are the targets that could take it instead.
 ///
 /// Load pattern: a burst while a third of the targets are silent. Most of the others are
-/// full, and a slow one with a free slot is better than none: only a target that would
-/// finish the request within its objective is preferred.
+/// full, and a slow one with a free slot is better than none: only a target with a free slot,
+/// or one that is worth the wait for it, is preferred.
 #[must_use]
 pub fn confirms(
     checked: &Candidate,
@@ -88,11 +88,9 @@
     placement: &PlacementSettings,
     settings: &PrecheckSettings,
 ) -> bool {
-    let all = others.iter().chain([checked]);
-    let is_eligible = placement::finishes_in_time(checked, requirements, placement)
-        || placement::may_be_late(all, requirements, placement)
-            && placement::finishes_late(checked, requirements, placement);
-    if !is_eligible {
+    if !placement::finishes_in_time(checked, requirements, placement)
+        || placement::is_worth_waiting(checked, others, requirements, placement)
+    {
         return false;
     }
     let limit = placement::cost(checked, placement) - settings.switch_margin;
--- a/src/entry/target/precheck/tests.rs
+++ b/src/entry/target/precheck/tests.rs
@@ -18,8 +18,8 @@
 fn confirms(checked: Candidate, others: &[Candidate]) -> bool {
     let requirements = Requirements {
         service_time: Duration::from_millis(90),
-        objective_left: Duration::from_millis(250),
         deadline_left: Duration::from_secs(2),
+        slot_share: 1.0,
         suspicion: 0,
     };
     let placement = PlacementSettings::default();
@@ -104,8 +104,8 @@
                 .collect();
             let requirements = Requirements {
                 service_time: Duration::from_millis(900),
-                objective_left: Duration::from_secs(2),
                 deadline_left: Duration::from_secs(10),
+                slot_share: 1.0,
                 suspicion: 0,
             };
             #[expect(clippy::cast_precision_loss, reason = "a draw below 1")]
--- a/src/entry/target/selection.rs
+++ b/src/entry/target/selection.rs
@@ -6,6 +6,7 @@
 
 use rand::Rng;
 
+use crate::entry::fleet::members::Members;
 use crate::entry::rollout::Pool;
 use crate::entry::state::State;
 use crate::entry::target::placement::{self, Candidate, Requirements};
@@ -41,6 +42,8 @@
     pub side: Option<Side>,
     /// Crashes attributed to the request when it was selected.
     pub suspicion: u32,
+    /// When the request should end there.
+    pub expected_end: Time,
 }
 
 /// Capacity that is reserved for a request at a run of a target.
@@ -48,6 +51,8 @@
 pub(crate) struct Reserved {
     /// Key of the run.
     pub run: u64,
+    /// When the request should end there.
+    pub expected_end: Time,
     /// Crashes attributed to the request when it was selected.
     pub suspicion: u32,
 }
@@ -57,6 +62,7 @@
     pub(crate) fn reserved(&self) -> Reserved {
         Reserved {
             run: self.run,
+            expected_end: self.expected_end,
             suspicion: self.suspicion,
         }
     }
@@ -68,9 +74,8 @@
     /// The service has no target that may be used at all.
     #[display("no usable target")]
     NoneUsable,
-    /// No usable target has capacity to finish the request within its latency
-    /// objective.
-    #[display("no room within the objective")]
+    /// The work ahead of the request and its own would end after its deadline.
+    #[display("the work ahead leaves no room before the deadline")]
     NoCapacity,
     /// The request has crashed targets.
     #[display("the request has crashed targets")]
@@ -169,14 +174,14 @@
             &self.tuning.placement,
             draw,
         );
-        let is_worth_waiting = |left: Duration| {
-            left.saturating_add(requirements.service_time) <= requirements.objective_left
+        let ends_in_time = |left: Duration| {
+            left.saturating_add(requirements.service_time) <= requirements.deadline_left
         };
         let id = match best {
             Some(index) => classified.ids.swap_remove(index),
             None if !classified.candidates.is_empty()
                 || classified.full
-                || classified.pause_left.is_some_and(is_worth_waiting) =>
+                || classified.pause_left.is_some_and(ends_in_time) =>
             {
                 return Err(NoTarget::NoCapacity);
             }
@@ -191,7 +196,7 @@
             }
             None => return Err(NoTarget::NoneUsable),
         };
-        self.reserve(now, &id, requirements.suspicion)
+        self.reserve(now, &id, requirements)
             .ok_or(NoTarget::NoneUsable)
     }
 
@@ -275,23 +280,14 @@
         let max_connections = self.max_connections(service);
         let cold_limit = self.cold_limit(service);
         let knows_members = now.since(self.started) >= MEMBER_DISCOVERY_TIME;
-        let members = &self.members;
-        let generation = members.generation();
-        let allowance = |view: &mut TargetState| {
-            if knows_members {
-                let rank = view.cold_rank(generation, |target| members.rank(target));
-                cold_allowance(cold_limit, rank)
-            } else {
-                0
-            }
-        };
+        let allowance = cold_allowances(&self.members, knows_members, cold_limit);
         let own_zone = &self.settings.zone;
         let curve = self.load_curve(service);
         let gate = self.rollouts.gate(service);
         let mut classified = ClassifiedTargets::default();
         let (views, evacuated) = self.targets.service_targets(service);
         for view in views.filter(|view| pool.contains(gate, view)) {
-            let unusable_reason = view.unusable_reason(now, evacuated, allowance);
+            let unusable_reason = view.unusable_reason(now, evacuated, &allowance);
             let is_tried = tried.contains(&view.target.id);
             match unusable_reason {
                 Some(
@@ -346,7 +342,13 @@
         counts
     }
 
-    fn reserve(&mut self, now: Time, id: &TargetId, suspicion: u32) -> Option<ChosenTarget> {
+    fn reserve(
+        &mut self,
+        now: Time,
+        id: &TargetId,
+        requirements: &Requirements,
+    ) -> Option<ChosenTarget> {
+        let suspicion = requirements.suspicion;
         let own_zone = self.settings.zone.clone();
         let side = self
             .targets
@@ -354,17 +356,25 @@
             .and_then(|view| self.compared_side(view));
         let curve = self.load_curve(&self.targets.get(id)?.target.service);
         let view = self.targets.get_mut(id)?;
+        let candidate = view.candidate(now, &own_zone, &curve);
+        let duration = placement::expected_duration(
+            &candidate,
+            requirements.service_time,
+            &self.tuning.placement,
+        );
         let choice = ChosenTarget {
             side,
             suspicion,
+            expected_end: now.after(duration),
             id: id.clone(),
             run: view.key,
             service: view.target.service.clone(),
             address: view.target.address,
-            candidate: view.candidate(now, &own_zone, &curve),
+            candidate,
             report_age: view.load_report.map(|report| now.since(report.at)),
         };
         view.in_flight += 1;
+        view.ends.push(choice.expected_end);
         if suspicion > 0 {
             view.suspects.push(suspicion);
         }
@@ -391,7 +401,7 @@
         share.max(MIN_CONNECTIONS)
     }
 
-    fn cold_limit(&self, service: &ServiceName) -> f64 {
+    pub(super) fn cold_limit(&self, service: &ServiceName) -> f64 {
         let rate = self
             .replica
             .configuration()
@@ -400,3 +410,21 @@
         rate * self.settings.cold_factor + self.settings.cold_slack
     }
 }
+
+/// Requests in a window that this instance may send to each cold target of a service whose
+/// targets take `cold_limit` while cold. Without the other members, its share is unknown.
+pub(super) fn cold_allowances(
+    members: &Members,
+    knows_members: bool,
+    cold_limit: f64,
+) -> impl Fn(&mut TargetState) -> usize {
+    let generation = members.generation();
+    move |view| {
+        if knows_members {
+            let rank = view.cold_rank(generation, |target| members.rank(target));
+            cold_allowance(cold_limit, rank)
+        } else {
+            0
+        }
+    }
+}
--- a/src/entry/target/targets/view.rs
+++ b/src/entry/target/targets/view.rs
@@ -40,6 +40,8 @@
     pub key: u64,
     /// Requests of this instance in flight there.
     pub in_flight: u32,
+    /// When they should end.
+    pub ends: Vec<Time>,
     /// The crashes attributed to each of them that is suspected of crashing targets.
     pub suspects: Vec<u32>,
     /// Token cloned by each connection of this instance to it; its reference count
@@ -101,6 +103,7 @@
             cold_until: now.after(target.cold_for),
             target,
             in_flight: 0,
+            ends: Vec::new(),
             suspects: Vec::new(),
             connections: Arc::new(()),
             load_report: None,
--- /dev/null
+++ b/tests/entry_bursts/mod.rs
@@ -0,0 +1,122 @@
+//! Bursts above what the targets can run at a time, from callers of different patience. The
+//! latency objective of the route is 0.5 s.
+
+use std::time::{Duration, Instant};
+
+use crate::entry_cluster::{EntryCluster, HttpResponse};
+
+/// Targets with six slots each.
+const TARGETS: usize = 4;
+/// Requests after which the instance knows how long they take.
+const WARM_UP: u32 = 20;
+/// Time in which a busy instance answers what it refuses on arrival.
+const AT_ONCE: Duration = Duration::from_millis(400);
+
+/// What a caller got within its time.
+struct Ending {
+    /// Time that the caller waits.
+    patience: Duration,
+    took: Duration,
+    /// `None` if its time was over before.
+    resp: Option<HttpResponse>,
+}
+
+impl Ending {
+    fn status(&self) -> Option<u16> {
+        self.resp.as_ref().map(|resp| resp.status)
+    }
+}
+
+/// An instance and its targets, which take this long for each request.
+async fn cluster(work: Duration) -> EntryCluster {
+    let cluster = EntryCluster::start(1, TARGETS).await;
+    cluster.configure_timeout(8, 9_000);
+    cluster.wait_for_version(0, 8).await;
+    cluster.set_work(work);
+    let warm_up = (0..WARM_UP).map(|number| send(&cluster, &format!("w{number}"), 9_000));
+    let warm_up: Vec<_> = warm_up.map(tokio::spawn).collect();
+    for request in warm_up {
+        assert_eq!(request.await.unwrap().status(), Some(200));
+    }
+    cluster
+}
+
+/// Sends a request of a caller that waits for so long.
+fn send(
+    cluster: &EntryCluster,
+    id: &str,
+    patience_ms: u64,
+) -> impl Future<Output = Ending> + Send + use<> {
+    let conn = crate::entry_cluster::connect(cluster.caller_address(0));
+    let req = format!(
+        "GET /safe/x HTTP/1.1\r\nhost: x.example\r\nx-request-id: {id}\r\n\
+         x-deadline-ms: {patience_ms}\r\n\r\n"
+    );
+    let patience = Duration::from_millis(patience_ms);
+    async move {
+        let mut conn = conn.await.unwrap();
+        let started = Instant::now();
+        conn.send(req.as_bytes()).await;
+        let resp = tokio::time::timeout(patience, conn.response_or_end()).await;
+        Ending {
+            patience,
+            took: started.elapsed(),
+            resp: resp.ok().flatten(),
+        }
+    }
+}
+
+/// Sends requests at once, one for each patience, and waits for all of them.
+async fn burst(cluster: &EntryCluster, patience_ms: impl Iterator<Item = u64>) -> Vec<Ending> {
+    let mut sending = Vec::new();
+    for (number, patience_ms) in patience_ms.enumerate() {
+        let request = send(cluster, &format!("b{number}"), patience_ms);
+        sending.push(tokio::spawn(request));
+    }
+    let mut endings = Vec::new();
+    for request in sending {
+        endings.push(request.await.unwrap());
+    }
+    endings
+}
+
+/// Callers were turned away from targets that were idle some tenths of a second later: requests
+/// waited only within the latency objective.
+#[tokio::test]
+async fn every_caller_is_answered_whose_work_fits_in_its_time() {
+    let cluster = cluster(Duration::from_millis(200)).await;
+    // 1.3 s of work for the 24 slots.
+    let patience_ms = [2_000, 4_000, 8_000].into_iter().cycle().take(160);
+    let endings = burst(&cluster, patience_ms).await;
+    for class in [2, 4, 8].map(Duration::from_secs) {
+        let own = endings.iter().filter(|ending| ending.patience == class);
+        let (answered, others): (Vec<_>, Vec<_>) =
+            own.partition(|ending| ending.status() == Some(200));
+        println!("{class:?}: {} answered", answered.len());
+        let others: Vec<_> = others.iter().map(|ending| ending.status()).collect();
+        assert!(others.is_empty(), "{class:?}: {others:?}");
+    }
+}
+
+/// Callers whose turn comes too late got no answer before their time was over.
+#[tokio::test]
+async fn callers_whose_work_does_not_fit_are_refused_at_once() {
+    let cluster = cluster(Duration::from_millis(500)).await;
+    // 5 s of work for the 24 slots; two rounds of it end in time with 0.4 s to spare.
+    let endings = burst(&cluster, std::iter::repeat_n(1_400, 240)).await;
+    let of_status = |status| {
+        let endings = endings.iter();
+        endings.filter(move |ending| ending.status() == Some(status))
+    };
+    let (answered, refused) = (of_status(200).count(), of_status(503).count());
+    let at_once = of_status(503).filter(|ending| ending.took < AT_ONCE);
+    let at_once = at_once.count();
+    println!("{answered} answered, {refused} refused, {at_once} of them at once");
+    assert_eq!(answered + refused, 240);
+    assert!(answered >= 24, "{answered} answered");
+    // The others are refused when their targets turn out slower than known.
+    assert!(
+        at_once * 10 >= refused * 9,
+        "{at_once} of {refused} at once"
+    );
+}
