Take no part of the latency objective for the time of unknown work

What callers saw: until an instance had ten responses of a route, 0.35 of the route's latency objective counted as the time of its work. With an objective of 10 s a fresh instance refused callers with 300 ms at once; rarely used routes stayed so for long.

Cause: requirements.rs had no word for unknown.

Change: the time is known from the first response (the mean of the first ten, then the median as before); before that nothing says that a request would take too long: it is sent, waits by its caller's time, is checked first, not hedged, not judged slow, and at a planned stop counts with its whole deadline. Estimates of the slowdown by fill still wait for ten responses.

Evidence: a_request_whose_work_is_not_known_is_sent_at_once_and_waits_by_its_ callers_time got 503 before (the request with 300 ms at a fresh instance), 200 now.

--- a/src/entry/request/forward.rs
+++ b/src/entry/request/forward.rs
@@ -317,8 +317,9 @@
         Self: 'b,
     {
         let now = self.shared.now();
-        let service_time = self.service_time();
-        let requirements = self.requirements(service_time);
+        // Without one, no request can be said to be slow.
+        let service_time = self.service_time()?;
+        let requirements = self.requirements();
         let objective_left = self.objective_left();
         let mut state = self.shared.state();
         let slowness = state.slowness(now, self.tried.last()?);
@@ -377,7 +378,7 @@
             at_most_once: self.admitted.route.retry_safety == RetrySafety::Never,
             fingerprints: self.fingerprints,
             check_path,
-            requirements: self.requirements(service_time),
+            requirements: self.requirements(),
             tried: self.tried.clone(),
             may_run: self.may_run.clone(),
         };
--- a/src/entry/request/forward/queue_place.rs
+++ b/src/entry/request/forward/queue_place.rs
@@ -8,6 +8,7 @@
 use crate::entry::request::outcome::{Refusal, return_after};
 use crate::entry::request::retry::AttemptHistory;
 use crate::entry::request::wait_queue::Ticket;
+use crate::entry::target::placement::Requirements;
 use crate::entry::target::selection::{ChosenTarget, NoTarget};
 
 /// A request's place in the wait queue. Dropping it removes the request from the queue.
@@ -32,7 +33,7 @@
     pub(super) fn try_acquire(&mut self) -> Result<ChosenTarget, NoTarget> {
         let call = self.call;
         let now = call.shared.now();
-        let requirements = call.requirements(call.service_time());
+        let requirements = call.requirements();
         let mut state = call.shared.state();
         if state.is_blocked(now, call.fingerprints) {
             return Err(NoTarget::Blocked);
@@ -63,8 +64,11 @@
     /// it and its own no longer end within its caller's time.
     pub(super) fn enqueue_or_refuse(&mut self) -> Result<(), Refusal> {
         let call = self.call;
-        let service_time = call.service_time();
-        let left = call.requirements(service_time).deadline_left;
+        let Requirements {
+            service_time,
+            deadline_left: left,
+            ..
+        } = call.requirements();
         let now = call.shared.now();
         let service = &call.admitted.service;
         let mut state = call.shared.state();
--- a/src/entry/request/forward/requirements.rs
+++ b/src/entry/request/forward/requirements.rs
@@ -6,15 +6,11 @@
 use crate::entry::stop::RunTime;
 use crate::entry::target::placement::Requirements;
 
-/// Fraction of the latency objective that is assumed as service time until one is
-/// known.
-const DEFAULT_SERVICE_TIME_FRACTION: f64 = 0.35;
-
 impl Call<'_> {
-    pub(super) fn service_time(&self) -> Duration {
+    /// Time that requests of its route usually take at a target; `None` until it is known.
+    pub(super) fn service_time(&self) -> Option<Duration> {
         let route = &self.admitted.route;
-        let service_time = self.shared.state().service_times.get(&route.name);
-        service_time.unwrap_or_else(|| route.objective.mul_f64(DEFAULT_SERVICE_TIME_FRACTION))
+        self.shared.state().service_times.get(&route.name)
     }
 
     /// Time that the request may take at a target.
@@ -25,7 +21,8 @@
         }
     }
 
-    pub(super) fn requirements(&self, service_time: Duration) -> Requirements {
+    pub(super) fn requirements(&self) -> Requirements {
+        let service_time = self.service_time().unwrap_or_default();
         let state = self.shared.state();
         // The crash of a target is found only after the calls on it have broken off.
         let suspicion = state.suspicion(self.fingerprints);
--- a/src/entry/request/forward/tests.rs
+++ b/src/entry/request/forward/tests.rs
@@ -137,6 +137,27 @@
     }
 }
 
+/// As after a start; a part of the latency objective, which is 10 s here, was taken for the
+/// time of the work.
+#[tokio::test]
+async fn a_request_whose_work_is_not_known_is_sent_at_once_and_waits_by_its_callers_time() {
+    let target = TargetStandin::start("t", "s").await.unwrap();
+    let shared = instance(&[&target]);
+    let hurried = |id| {
+        let mut req = request("/x", id);
+        let left = http::HeaderValue::from_static("300");
+        req.headers.insert("x-deadline-ms", left);
+        req
+    };
+    let fresh = instance(&[&target]);
+    assert_eq!(serve(fresh, hurried("sent")).await.status, 200);
+    report_load(&shared, &target, 12);
+    let waiting = tokio::spawn(serve(shared.clone(), hurried("waits")));
+    wait_until(|| is_queued(&shared)).await;
+    report_load(&shared, &target, 0);
+    assert_eq!(waiting.await.unwrap().status, 200);
+}
+
 #[tokio::test]
 async fn a_request_waits_for_the_end_of_a_pause_and_is_refused_if_it_cannot() {
     let target = TargetStandin::start("t", "s").await.unwrap();
--- a/src/entry/request/service_time.rs
+++ b/src/entry/request/service_time.rs
@@ -5,8 +5,8 @@
 
 use indexmap::IndexMap;
 
-/// Number of responses after which an estimate is used.
-const MIN_SAMPLES: u32 = 10;
+/// Number of responses whose mean is the estimate; it then follows further ones.
+const MEAN_SAMPLES: u32 = 10;
 /// Relative step of the estimate towards each further response. Equal steps up and down
 /// make it follow the median, which a few slow responses do not move.
 const ADJUSTMENT: f64 = 0.03;
@@ -29,7 +29,7 @@
         let estimate = self.routes.entry(route.clone()).or_default();
         let seconds = took.as_secs_f64() / slowness.max(1.0);
         estimate.samples = estimate.samples.saturating_add(1);
-        if estimate.samples <= MIN_SAMPLES {
+        if estimate.samples <= MEAN_SAMPLES {
             estimate.seconds += (seconds - estimate.seconds) / f64::from(estimate.samples);
         } else if seconds > estimate.seconds {
             estimate.seconds *= 1.0 + ADJUSTMENT;
@@ -38,11 +38,19 @@
         }
     }
 
-    /// The typical service time of a route; `None` until enough responses arrived.
+    /// The typical service time of a route; `None` until the first response.
     #[must_use]
     pub fn get(&self, route: &str) -> Option<Duration> {
         let estimate = self.routes.get(route)?;
-        (estimate.samples >= MIN_SAMPLES).then(|| Duration::from_secs_f64(estimate.seconds))
+        Some(Duration::from_secs_f64(estimate.seconds))
+    }
+
+    /// The same, `None` until the estimate no longer depends on a few responses.
+    #[must_use]
+    pub fn settled(&self, route: &str) -> Option<Duration> {
+        let estimate = self.routes.get(route)?;
+        let estimate = (estimate.samples >= MEAN_SAMPLES).then_some(estimate)?;
+        Some(Duration::from_secs_f64(estimate.seconds))
     }
 }
 
--- a/src/entry/rollout/observed.rs
+++ b/src/entry/rollout/observed.rs
@@ -21,7 +21,7 @@
 /// What is known of a target while an attempt runs there.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Conditions {
-    /// Typical service time of the route.
+    /// Typical service time of the route; zero until it is known, and then nothing is slow.
     pub service_time: Duration,
     /// Factor by which the target reports that work takes longer.
     pub slowness: f64,
@@ -57,6 +57,9 @@
     /// Whether `took` is longer than the target's load and machine explain.
     fn is_slow(&self, took: Duration) -> bool {
         let waiting = (self.occupied + 1.0 - self.slots).max(0.0) / self.slots.max(1.0);
+        if self.service_time.is_zero() {
+            return false;
+        }
         // As seconds, since loads may be absurd.
         let expected = self.service_time.as_secs_f64() * self.slowness.max(1.0) * (1.0 + waiting);
         took.as_secs_f64() > expected * SLOW_FACTOR
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -328,7 +328,7 @@
         let slowness = (percent / 100.0).max(1.0);
         let curve = self.load_curves.entry(service.clone()).or_default();
         let fill = (candidate.occupied + 1.0) / candidate.slots.max(1.0);
-        if let Some(usual) = self.service_times.get(route) {
+        if let Some(usual) = self.service_times.settled(route) {
             curve.record(fill, took.as_secs_f64() / (usual.as_secs_f64() * slowness));
         }
         let factor = slowness * curve.factor(fill);
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -20,14 +20,17 @@
 pub(crate) struct RunTime {
     /// Time left until its deadline, at which it is answered in any case.
     pub deadline_left: Duration,
-    /// Time that it usually takes at a target.
-    pub usual: Duration,
+    /// Time that it usually takes at a target; `None` until it is known.
+    pub usual: Option<Duration>,
 }
 
 impl RunTime {
     /// The longest time that it may take.
     pub(crate) fn longest(self) -> Duration {
-        self.deadline_left.min(self.usual * MAX_SLOWDOWN)
+        let longest = self.usual.map(|usual| usual * MAX_SLOWDOWN);
+        longest.map_or(self.deadline_left, |longest| {
+            self.deadline_left.min(longest)
+        })
     }
 }
 
--- a/src/entry/stop/tests.rs
+++ b/src/entry/stop/tests.rs
@@ -12,7 +12,7 @@
 fn run_time(deadline: u32, usual_ms: u64) -> RunTime {
     RunTime {
         deadline_left: SECOND * deadline,
-        usual: Duration::from_millis(usual_ms),
+        usual: Some(Duration::from_millis(usual_ms)),
     }
 }
 
--- a/src/entry/target/placement.rs
+++ b/src/entry/target/placement.rs
@@ -84,7 +84,8 @@
 /// What a request requires of its target.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Requirements {
-    /// Typical service time, on a target of usual speed.
+    /// Typical service time, on a target of usual speed; zero until it is known, as nothing
+    /// then says that the request would take too long.
     pub service_time: Duration,
     /// Time left to the deadline, until which its caller waits.
     pub deadline_left: Duration,
--- a/src/entry/target/precheck.rs
+++ b/src/entry/target/precheck.rs
@@ -48,16 +48,16 @@
 }
 
 /// Whether a target whose report has this age is checked before a request that takes
-/// `service_time`; `checks` is the number of checks for the request so far.
+/// `service_time`, if that is known; `checks` is the number of checks for the request so far.
 #[must_use]
 pub fn is_worthwhile(
     report_age: Option<Duration>,
-    service_time: Duration,
+    service_time: Option<Duration>,
     checks: u32,
     settings: &PrecheckSettings,
 ) -> bool {
     checks < settings.max_checks
-        && service_time >= settings.min_service_time
+        && service_time.is_none_or(|time| time >= settings.min_service_time)
         && report_age.is_none_or(|age| age >= settings.min_report_age)
 }
 
--- a/src/entry/target/precheck/tests.rs
+++ b/src/entry/target/precheck/tests.rs
@@ -27,10 +27,10 @@
     super::confirms(&checked, others, &requirements, &placement, &settings)
 }
 
-fn is_worthwhile(age_ms: Option<u64>, service_ms: u64, checks: u32) -> bool {
+fn is_worthwhile(age_ms: Option<u64>, service_ms: impl Into<Option<u64>>, checks: u32) -> bool {
     super::is_worthwhile(
         age_ms.map(Duration::from_millis),
-        Duration::from_millis(service_ms),
+        service_ms.into().map(Duration::from_millis),
         checks,
         &PrecheckSettings::default(),
     )
@@ -42,6 +42,7 @@
     assert!(is_worthwhile(None, 90, 0));
     assert!(!is_worthwhile(Some(5), 90, 0));
     assert!(!is_worthwhile(Some(100), 2, 0));
+    assert!(is_worthwhile(Some(100), None, 0));
     assert!(!is_worthwhile(Some(100), 90, 3), "checked often enough");
 }
 
--- a/src/entry/target/selection.rs
+++ b/src/entry/target/selection.rs
@@ -206,7 +206,7 @@
         &mut self,
         now: Time,
         choice: &ChosenTarget,
-        service_time: Duration,
+        service_time: Option<Duration>,
         checks: u32,
     ) -> Option<Arc<str>> {
         let settings = &self.tuning.precheck;
