Tell refused callers when there is room, not a part of their own time

What callers saw: refused behind 1.5 s and more of work, they were told 0.35 to 1.92 s, by what time they had (tests/entry_bursts, callers of 0.7, 1.5 and 2.5 s): whoever waited longest was sent away for longest, at most 2 s. After a shed with the retry budget used up they were sent to try at once; of a known pause of a minute they were told 2 s.

Change: the time follows from the load alone: until a slot is free behind the work that waits, at least one run if targets shed the request, the rest of a pause as a whole. It is spread over the time of one run, so that those who return do not come together. Where nothing is known, 1 s, the shortest that every caller understands; an instance that is cut off or stops still sends callers to others at once. A refusal at the deadline is reckoned in the same way.

--- a/src/entry/request/forward.rs
+++ b/src/entry/request/forward.rs
@@ -262,7 +262,7 @@
                                 AttemptOutcome::Blocked => NoTarget::Blocked,
                                 _ => NoTarget::AllTried,
                             };
-                            return self.end_without_target(failure, Refusal::without_target(self.history, reason));
+                            return self.end_without_target(failure, self.refusal(reason));
                         }
                     }
                 }
@@ -407,15 +407,13 @@
                 Err(reason) if self.shared.state().status.cut_off => {
                     return Err(Refusal::new(reason, RETRY_AFTER_ELSEWHERE));
                 }
-                Err(reason) => {
-                    return Err(Refusal::without_target(self.history, reason));
-                }
+                Err(reason) => return Err(self.refusal(reason)),
             }
             tokio::select! {
                 () = freed => {}
                 () = tokio::time::sleep(CAPACITY_POLL_INTERVAL) => {}
                 () = tokio::time::sleep_until(self.deadline.into()) => {
-                    return Err(Refusal::new(NoTarget::NoCapacity, DEFAULT_RETRY_AFTER));
+                    return Err(self.refusal(NoTarget::TooLate));
                 }
             }
         }
--- a/src/entry/request/forward/ending.rs
+++ b/src/entry/request/forward/ending.rs
@@ -1,11 +1,14 @@
 //! How a request ends: the response to it, and the log line that says why.
 
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use rand::Rng;
 
 use super::{Call, millis};
 use crate::entry::request::attempt::CompletedAttempt;
 use crate::entry::request::outcome::{
-    DEFAULT_RETRY_AFTER, Outcome, Refusal, forward_response, implies_not_run, reply,
+    DEFAULT_RETRY_AFTER, Outcome, Refusal, Room, forward_response, implies_not_run, reply,
 };
 use crate::entry::request::retry::AttemptOutcome;
 use crate::entry::target::selection::NoTarget;
@@ -57,6 +60,28 @@
         );
     }
 
+    /// A refusal for this reason, with the time when there will be room by the load.
+    pub(super) fn refusal(&self, reason: NoTarget) -> Refusal {
+        let room = self
+            .service_time()
+            .map(|service_time| self.room(service_time));
+        let draw = rand::rng().random();
+        Refusal::without_target(reason, self.history.shed > 0, room, draw)
+    }
+
+    /// When there will be room for a request that usually takes `service_time`.
+    fn room(&self, service_time: Duration) -> Room {
+        let now = self.shared.now();
+        let service = &self.admitted.service;
+        let mut state = self.shared.state();
+        let supply = state.supply(now, service, service_time);
+        let queue = state.wait_queues.entry(service.clone()).or_default();
+        Room {
+            wait: queue.expected_wait(&self.admitted.flow(), &supply),
+            run_time: supply.run_time(service_time),
+        }
+    }
+
     pub(super) fn refuse(&self, refusal: Refusal) -> (Outcome, Reply) {
         self.give_back_token();
         if refusal.reason == NoTarget::Blocked {
@@ -111,7 +136,7 @@
     /// is refused.
     pub(super) fn time_out(&self) -> (Outcome, Reply) {
         if self.history.not_run() && !self.may_run.load(Ordering::Relaxed) {
-            return self.refuse(Refusal::new(NoTarget::TooLate, DEFAULT_RETRY_AFTER));
+            return self.refuse(self.refusal(NoTarget::TooLate));
         }
         let now = self.shared.now();
         let last = self.tried.last();
--- a/src/entry/request/forward/queue_place.rs
+++ b/src/entry/request/forward/queue_place.rs
@@ -1,11 +1,7 @@
 //! A request's place in the queue of those that wait for capacity.
 
-use std::time::Instant;
-
-use rand::Rng;
-
 use super::{Call, millis};
-use crate::entry::request::outcome::{Refusal, return_after};
+use crate::entry::request::outcome::Refusal;
 use crate::entry::request::retry::AttemptHistory;
 use crate::entry::request::wait_queue::Ticket;
 use crate::entry::target::placement::Requirements;
@@ -80,7 +76,7 @@
                 Ok(())
             } else {
                 drop(state);
-                Err(self.refuse())
+                Err(call.refusal(NoTarget::NoCapacity))
             };
         }
         let flow = call.admitted.flow();
@@ -89,7 +85,7 @@
         self.ticket = queue.try_enqueue(now, flow, deadline, service_time, &supply);
         if self.ticket.is_none() {
             drop(state);
-            return Err(self.refuse());
+            return Err(call.refusal(NoTarget::NoCapacity));
         }
         tracing::info!(
             request = &*call.outbound.id,
@@ -101,13 +97,6 @@
         );
         Ok(())
     }
-
-    /// Refuses the request, which would end after its deadline.
-    fn refuse(&self) -> Refusal {
-        let left = self.call.deadline.saturating_duration_since(Instant::now());
-        let retry_after = return_after(left, rand::rng().random());
-        Refusal::new(NoTarget::NoCapacity, retry_after)
-    }
 }
 
 impl Drop for QueuePlace<'_, '_> {
--- a/src/entry/request/outcome.rs
+++ b/src/entry/request/outcome.rs
@@ -4,25 +4,19 @@
 
 use http::HeaderValue;
 
-use crate::entry::request::retry::AttemptHistory;
 use crate::entry::target::selection::NoTarget;
 use crate::http1::body::BodyError;
 use crate::http1::client::Response;
 use crate::http1::server::Reply;
 
-/// Retry-After of a refusal that no load explains. Targets and configurations usually
-/// become available within fractions of a second.
-pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
-/// Retry-After when targets shed a request and the retry budget was exhausted. Other
-/// targets may accept it at once, and the caller's own retry is a new request.
-const RETRY_AFTER_SHED: Duration = Duration::from_millis(50);
+/// Retry-After where nothing is known of when a request may succeed: the shortest time that
+/// every caller understands, as some read whole seconds only.
+pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Retry-After of an instance that reaches no target or shuts down. The directory names
 /// others.
 pub(crate) const RETRY_AFTER_ELSEWHERE: Duration = Duration::from_millis(50);
-/// Range of the fraction of the time left after which a request returns that found no room.
-const RETURN_FRACTION: (f64, f64) = (0.5, 0.8);
-/// Minimum and maximum Retry-After sent to a caller.
-const RETRY_AFTER_RANGE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
+/// Minimum Retry-After sent to a caller: one that returns at once finds what it has just found.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Outcome of a request, for the log and the metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
@@ -117,6 +111,15 @@
     pub retry_after: Duration,
 }
 
+/// When there will be room for a request, by the load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Room {
+    /// Expected time until a slot is free behind the requests that wait already.
+    pub wait: Duration,
+    /// Expected time that the request runs.
+    pub run_time: Duration,
+}
+
 impl Refusal {
     pub(crate) fn new(reason: NoTarget, retry_after: Duration) -> Self {
         Self {
@@ -130,27 +133,31 @@
         Self::new(NoTarget::Stopping, RETRY_AFTER_ELSEWHERE)
     }
 
-    /// Refusal because no target could take the request, given its attempts so far.
-    pub(crate) fn without_target(history: AttemptHistory, reason: NoTarget) -> Self {
-        let retry_after = match reason {
-            NoTarget::Paused { left } => left,
-            _ if history.shed > 0 => RETRY_AFTER_SHED,
-            _ => DEFAULT_RETRY_AFTER,
+    /// Refusal because no target could take the request, which some may have `shed`; `room` is
+    /// `None` if it is not known how long requests run.
+    ///
+    /// The time follows from the load alone, so that equal requests are told the same,
+    /// however long their callers wait. `draw`, in `0.0..1.0`, spreads them over the time of
+    /// one run, since not all that return together find a free slot.
+    pub(crate) fn without_target(
+        reason: NoTarget,
+        shed: bool,
+        room: Option<Room>,
+        draw: f64,
+    ) -> Self {
+        let earliest = match reason {
+            NoTarget::Paused { left } => Some(left),
+            // The targets that shed it are full until something that they run has ended.
+            _ if shed => room.map(|room| room.wait.max(room.run_time)),
+            NoTarget::NoCapacity | NoTarget::TooLate => room.map(|room| room.wait),
+            _ => None,
         };
-        Self::new(reason, retry_after)
+        let spread = room.map_or(Duration::ZERO, |room| room.run_time.mul_f64(draw));
+        let retry_after = earliest.map(|earliest| earliest.saturating_add(spread));
+        Self::new(reason, retry_after.unwrap_or(DEFAULT_RETRY_AFTER))
     }
 }
 
-/// When a request that found no room within its objective should return, with `left` until its
-/// deadline; `draw` is in `0.0..1.0`.
-///
-/// Load pattern: a burst above what the targets can run. The response will be late whenever
-/// it comes, and a request that returns during the burst takes the place of one that could
-/// be in time. Spread over the rest of their time, the returns meet the end of the burst.
-pub(crate) fn return_after(left: Duration, draw: f64) -> Duration {
-    left.mul_f64(RETURN_FRACTION.0 + (RETURN_FRACTION.1 - RETURN_FRACTION.0) * draw)
-}
-
 /// Whether callers conclude from this status that a request was not run.
 pub(crate) fn implies_not_run(status: u16) -> bool {
     matches!(status, 408 | 421 | 429 | 503)
@@ -164,7 +171,7 @@
         reply.headers.insert(http::header::WWW_AUTHENTICATE, scheme);
     }
     if matches!(reply.status, 429 | 503) {
-        let retry_after = retry_after.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
+        let retry_after = retry_after.max(MIN_RETRY_AFTER);
         let text = format!("{:.3}", retry_after.as_secs_f64());
         if let Ok(value) = HeaderValue::from_str(&text) {
             reply.headers.insert(http::header::RETRY_AFTER, value);
@@ -181,3 +188,6 @@
         body: response.body,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/entry_bursts/mod.rs
+++ b/tests/entry_bursts/mod.rs
@@ -120,3 +120,40 @@
         "{at_once} of {refused} at once"
     );
 }
+
+/// They were told a part of the time that they had: those with the most time stayed away the
+/// longest, from targets that were idle by then.
+#[tokio::test]
+async fn refused_callers_are_told_when_there_is_room_whatever_time_they_have() {
+    let work = Duration::from_millis(500);
+    let cluster = cluster(work).await;
+    // 4.2 s of work for the 24 slots, of which 3 s can be done in time.
+    let before = (0..200).map(|number| send(&cluster, &format!("a{number}"), 3_000));
+    let before: Vec<_> = before.map(tokio::spawn).collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let patience_ms = [700, 1_500, 2_500].into_iter().cycle().take(36);
+    let endings = burst(&cluster, patience_ms).await;
+    let mut told = Vec::new();
+    for ending in &endings {
+        let resp = ending.resp.as_ref().unwrap();
+        assert_eq!(resp.status, 503, "after {:?}", ending.patience);
+        told.push(resp.header("retry-after").unwrap().parse().unwrap());
+    }
+    let least = told.iter().copied().fold(f64::INFINITY, f64::min);
+    let most = told.iter().copied().fold(0.0, f64::max);
+    println!("{least} to {most} s");
+    // Of the work that fits in 3 s, more than 1.5 s is left.
+    assert!(least > 1.5 && most < 4.0, "{least} to {most} s");
+    for class in [700, 1_500, 2_500].map(Duration::from_millis) {
+        let own = endings.iter().zip(&told);
+        let own = own.filter(|(ending, _)| ending.patience == class);
+        let own: Vec<f64> = own.map(|(_, told)| *told).collect();
+        let mean: f64 = own.iter().sum::<f64>() / 12.0;
+        // Each is spread over the time of a run.
+        assert!(
+            (mean - f64::midpoint(least, most)).abs() < 0.4,
+            "{class:?}: {own:?}"
+        );
+    }
+    drop(before);
+}
