Hedge a request that has stalled although its objective has passed

What callers saw: a request on a target that stalled or slowed down late got no second attempt once its latency objective left no time for one; the caller waited for the slow target up to its deadline.

Cause: hedge::is_worthwhile asked whether the hedge would end within the objective. A late response still helps its caller.

Change: a hedge is sent when the attempt has stalled or would miss the objective, and the other target answers sooner and before the deadline. The objective stays as the reason for a second run: within it, the first is soon enough.

--- a/src/entry/request/forward.rs
+++ b/src/entry/request/forward.rs
@@ -326,7 +326,11 @@
         self.progress
             .advance(HEDGE_CHECK_INTERVAL, service_time, slowness);
         let current = self.progress.remaining(service_time, slowness);
-        if !hedge::is_worthwhile(current, service_time, objective_left) {
+        let is_worthwhile = |alternative| {
+            let deadline_left = requirements.deadline_left;
+            hedge::is_worthwhile(current, alternative, objective_left, deadline_left)
+        };
+        if !is_worthwhile(service_time) {
             return None;
         }
         let service = &self.admitted.service;
@@ -336,7 +340,7 @@
             .ok()?;
         let alternative =
             placement::expected_duration(&choice.candidate, service_time, &state.tuning.placement);
-        if !hedge::is_worthwhile(current, alternative, objective_left) {
+        if !is_worthwhile(alternative) {
             state.release(choice.reserved());
             return None;
         }
--- a/src/entry/request/hedge.rs
+++ b/src/entry/request/hedge.rs
@@ -1,8 +1,9 @@
 //! Decides when to send a hedge, a second attempt beside a running one.
 //!
 //! A target may become several times slower while a request runs there. Its probes show
-//! this within a fraction of the request's duration, and another target may still
-//! finish the request within its objective.
+//! this within a fraction of the request's duration, and another target may then answer
+//! the caller sooner. A hedge costs another run, so it is only sent for a request that
+//! would miss the objective that its route names, or that has stalled.
 
 use std::time::Duration;
 
@@ -35,15 +36,18 @@
     }
 }
 
-/// Whether a hedge is worthwhile: the `current` attempt is not expected to end within
-/// the objective, and one that ends after `alternative` is.
+/// Whether a hedge is worthwhile: the `current` attempt has stalled or is not expected to end
+/// within the objective, and one that ends after `alternative` answers the caller sooner and
+/// before its deadline.
 #[must_use]
 pub fn is_worthwhile(
     current: Option<Duration>,
     alternative: Duration,
     objective_left: Duration,
+    deadline_left: Duration,
 ) -> bool {
-    current.is_none_or(|current| current > objective_left) && alternative <= objective_left
+    let is_sooner = |current| current > objective_left && alternative < current;
+    current.is_none_or(is_sooner) && alternative <= deadline_left
 }
 
 #[cfg(test)]
