Close connections at a stop when callers have turned to other instances

Since a request whose deadline lies past the exit is refused, none is cut by staying open.

Change: they close after three times the TTL, or after half of the grace period if that is earlier: the other half is left to the requests that run.

Evidence: callers_refresh_the_directory_before_connections_close asked for 1 s, one TTL, and now for 3 s with a grace of 6 s; the constants before gave 2.82 s (worked out, the function has another signature now).

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -27,11 +27,9 @@
 
 /// Maximum number of connections waiting to be accepted.
 const LISTEN_BACKLOG: u32 = 1024;
-/// Fraction of the grace period after which idle connections are closed and no new ones
-/// are accepted, but [`MAX_CLOSE_DELAY`] at most.
-const CLOSE_AT_FRACTION: f64 = 0.47;
-/// Time after which callers have refreshed the directory, and use other instances.
-const MAX_CLOSE_DELAY: Duration = Duration::from_millis(2900);
+/// Some callers keep a response of the directory for this many times its TTL, and then use
+/// other instances.
+const MAX_TTL_OVERRUN: u32 = 3;
 /// Fraction of the grace period after which the process exits even if requests are
 /// still running, or [`EXIT_MARGIN`] before its end if that is later.
 const EXIT_AT_FRACTION: f64 = 0.93;
@@ -352,9 +350,10 @@
     open_connections: &'a AtomicUsize,
 }
 
-/// Time after SIGTERM at which idle connections are closed.
-fn close_delay(grace: Duration) -> Duration {
-    grace.mul_f64(CLOSE_AT_FRACTION).min(MAX_CLOSE_DELAY)
+/// Time after SIGTERM at which idle connections are closed and no new ones are accepted: when
+/// callers use other instances, but half of the grace period is left to requests that run.
+fn close_delay(grace: Duration, directory_ttl: Duration) -> Duration {
+    (grace / 2).min(directory_ttl * MAX_TTL_OVERRUN)
 }
 
 /// Time after SIGTERM at which the process exits even if requests are still running.
@@ -374,12 +373,12 @@
 ) {
     let open_connections = callers.open_connections;
     let started = Instant::now();
-    let grace = {
+    let (grace, directory_ttl) = {
         let mut state = shared.state();
         state.status.ready = false;
         state.status.leaving = true;
         // The settings may have been reloaded since the start.
-        state.settings.grace
+        (state.settings.grace, state.tuning.directory_ttl)
     };
     let end = started + exit_delay(grace);
     shared.stop.begin(end);
@@ -390,7 +389,7 @@
         exit_in_ms = exit_delay(grace).as_millis(),
         "shutting down: removed from the directory"
     );
-    tokio::time::sleep(close_delay(grace)).await;
+    tokio::time::sleep(close_delay(grace, directory_ttl)).await;
     shutdown.send_replace(ShutdownPhase::Closing);
     if let Some(accepting) = callers.accepting
         && let Err(err) = accepting.await
