--- a/src/account/lease.rs
+++ b/src/account/lease.rs
@@ -12,7 +12,8 @@
 const ANSWER_TIME: Duration = Duration::from_millis(25);
 /// Time for which a home that did not answer is asked after the others.
 const SILENCE_MEMORY: Duration = Duration::from_secs(1);
-/// Longest wait of a request for a token.
+/// Longest wait of a request for a token: each of the [`MAX_HOMES`] homes has been asked once.
+/// Another instance may reach one of them, and answer the caller sooner.
 pub const MAX_WAIT: Duration = Duration::from_millis(80);
 /// Time to come back when no home answered: another instance may reach one.
 const RETRY_AFTER_SILENCE: Duration = Duration::from_millis(50);
