Choose among targets by measured round trips, not by prices

What callers saw: a target in another zone counted as 0.35, and one without an open connection as 0.25 of a request's usual work, whatever the way there takes: work of 90 ms waited or ran up to 30 ms longer to save a way of 2 ms.

Cause: both figures stood for what traffic between zones and new connections are charged, not for time.

Change: an instance measures the round trip to each target when it connects and when it checks the target, and counts it once, or twice without an open connection, as a part of the usual work. Of targets that are as good within the margin for ties, one in the same zone comes first, then one with a connection: it costs no caller time, and a link or handshake less can fail.

--- a/src/entry/request/attempt.rs
+++ b/src/entry/request/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::entry::request::fingerprint::RequestFingerprints;
 use crate::entry::request::outbound::{DeclaredLength, OutboundRequest};
@@ -193,6 +193,7 @@
     let timeout = shared.state().tuning.precheck.timeout;
     shared.metrics.prechecks.inc();
     conn.is_checked = true;
+    let started = Instant::now();
     let checking = probe::check(&mut conn.conn, choice.address, path);
     let response = match tokio::time::timeout(timeout, checking).await {
         Ok(Ok(response)) => response,
@@ -212,6 +213,7 @@
             return Err(AttemptError::Declined("no response to the check".into()));
         }
     };
+    shared.record_round_trip(choice, started.elapsed());
     let now = shared.now();
     let meta = wire::response_meta(response.status, &response.headers);
     if meta
@@ -270,8 +272,11 @@
     };
     let token = token.ok_or_else(|| ExchangeError::NotSent("the target was removed".into()))?;
     shared.metrics.connects.inc();
+    let started = Instant::now();
     let opened = Conn::connect(choice.address, limit).await;
-    if opened.is_err() {
+    if opened.is_ok() {
+        shared.record_round_trip(choice, started.elapsed());
+    } else {
         shared.metrics.connect_failures.inc();
         let now = shared.now();
         shared.state().record_path_failure(now, choice.run);
@@ -301,6 +306,13 @@
         }
     }
 
+    /// Records how long a target took to respond to what takes it no time of its own.
+    fn record_round_trip(&self, choice: &ChosenTarget, took: Duration) {
+        if let Some(view) = self.state().targets.run_mut(choice.run) {
+            view.round_trip = took;
+        }
+    }
+
     /// Records that a call broke off on a target, and checks whether the target crashed.
     fn record_broken_call(
         self: &Arc<Self>,
@@ -397,7 +409,7 @@
     }
 }
 
-fn millis(duration: std::time::Duration) -> u64 {
+fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -31,7 +31,7 @@
         let known = end.wait_for(|end| end.is_some_and(|end| end < deadline));
         if known.await.is_err() {
             // No stop is left to come.
-            std::future::pending().await
+            std::future::pending::<()>().await;
         }
     }
 }
--- a/src/entry/target/placement.rs
+++ b/src/entry/target/placement.rs
@@ -11,16 +11,8 @@
 /// Weights of the cost function.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PlacementSettings {
-    /// Added to the cost of a target in another zone, in units of usual work. Traffic
-    /// between zones is expensive, and a slower target in the same zone is preferred up
-    /// to this difference.
-    pub cross_zone_cost: f64,
-    /// Added to the cost of a target without an idle connection. Opening one takes some
-    /// round trips and work at the target, while a target becomes slower only when it is
-    /// nearly full. This is about the extra cost when the request takes the fifth of a
-    /// target's six slots instead of the first.
-    pub connect_cost: f64,
-    /// Cost added for a full target, in units of usual work.
+    /// Cost added for a full target, in units of usual work: reports are old, and requests of
+    /// other instances may be on their way to it.
     pub fill_weight: f64,
     /// Cost multiplier of a target whose health check fails.
     pub unhealthy_factor: f64,
@@ -29,7 +21,9 @@
     /// Cost multiplier of a cold target, one that is still warming up.
     pub cold_factor: f64,
     /// Targets within this cost of the best one share the requests, so that instances
-    /// with the same view do not all select the same one.
+    /// with the same view do not all select the same one. Of these, one in the same zone
+    /// comes first, then one with an open connection: no caller waits longer for it, and
+    /// a link or handshake less can fail.
     pub tie_margin: f64,
     /// Slowness assumed for a target without a recent report, in percent: the mean when
     /// a quarter of the targets run at seven times the usual.
@@ -39,8 +33,6 @@
 impl Default for PlacementSettings {
     fn default() -> Self {
         Self {
-            cross_zone_cost: 0.35,
-            connect_cost: 0.25,
             fill_weight: 0.4,
             unhealthy_factor: 4.0,
             failure_weight: 8.0,
@@ -67,6 +59,8 @@
     /// Factor by which work takes longer there with another request; see
     /// [`LoadCurve`](crate::entry::target::load_curve::LoadCurve).
     pub load_factor: f64,
+    /// Round trip to it, as last measured; zero before.
+    pub round_trip: Duration,
     /// Whether it is in this instance's zone.
     pub same_zone: bool,
     /// Whether an idle connection to it is open.
@@ -102,9 +96,10 @@
     candidate.occupied + 1.0 <= candidate.slots
 }
 
-/// Expected cost of another request at a target, in units of usual work.
+/// Expected cost of another request that usually takes `service_time` at a target, in units of
+/// usual work.
 #[must_use]
-pub fn cost(candidate: &Candidate, settings: &PlacementSettings) -> f64 {
+pub fn cost(candidate: &Candidate, service_time: Duration, settings: &PlacementSettings) -> f64 {
     let slowness = candidate
         .slowness_percent
         .unwrap_or(settings.unknown_slowness)
@@ -122,17 +117,19 @@
         1.0
     };
     let failure_factor = 1.0 + settings.failure_weight * candidate.failure_rate;
-    let zone = if candidate.same_zone {
+    let travel = if service_time.is_zero() {
         0.0
     } else {
-        settings.cross_zone_cost
+        travel_time(candidate).as_secs_f64() / service_time.as_secs_f64()
     };
-    let connect = if candidate.connected {
-        0.0
-    } else {
-        settings.connect_cost
-    };
-    slowness * (candidate.load_factor + fill) * health * cold * failure_factor + zone + connect
+    slowness * (candidate.load_factor + fill) * health * cold * failure_factor + travel
+}
+
+/// Time that a request and its response are on their way. Opening a connection takes another
+/// round trip.
+fn travel_time(candidate: &Candidate) -> Duration {
+    let round_trips = if candidate.connected { 1 } else { 2 };
+    candidate.round_trip * round_trips
 }
 
 /// Expected duration of another request at a target.
@@ -186,7 +183,7 @@
         let least = eligible.map(|candidate| candidate.suspicion).min();
         let apart =
             |candidate: &Candidate| Some(candidate.suspicion) == least && in_time(candidate);
-        let chosen = cheapest(candidates, apart, settings, draw);
+        let chosen = cheapest(candidates, apart, requirements, settings, draw);
         if chosen.is_some() {
             return chosen;
         }
@@ -194,7 +191,7 @@
     let eligible = |candidate: &Candidate| {
         in_time(candidate) && !is_worth_waiting(candidate, candidates, requirements, settings)
     };
-    cheapest(candidates, eligible, settings, draw)
+    cheapest(candidates, eligible, requirements, settings, draw)
 }
 
 /// Whether a request is expected to be answered sooner, and in time, if it waits for one of
@@ -238,27 +235,31 @@
     waiting.ok()
 }
 
-/// Picks one of the cheapest eligible targets.
+/// Picks one of the cheapest eligible targets; of those, one of the nearest.
 fn cheapest(
     candidates: &[Candidate],
     is_eligible: impl Fn(&Candidate) -> bool,
+    requirements: &Requirements,
     settings: &PlacementSettings,
     draw: f64,
 ) -> Option<usize> {
     let costs: Vec<Option<f64>> = candidates
         .iter()
-        .map(|candidate| is_eligible(candidate).then(|| cost(candidate, settings)))
+        .map(|candidate| {
+            is_eligible(candidate).then(|| cost(candidate, requirements.service_time, settings))
+        })
         .collect();
     let best = costs
         .iter()
         .flatten()
         .copied()
         .fold(f64::INFINITY, f64::min);
-    let tied: Vec<usize> = costs
-        .iter()
-        .enumerate()
-        .filter(|(_, cost)| cost.is_some_and(|cost| cost <= best + settings.tie_margin))
-        .map(|(index, _)| index)
+    let is_tied =
+        |index: &usize| costs[*index].is_some_and(|cost| cost <= best + settings.tie_margin);
+    let nearness = |index: usize| (candidates[index].same_zone, candidates[index].connected);
+    let nearest = (0..candidates.len()).filter(is_tied).map(nearness).max()?;
+    let tied: Vec<usize> = (0..candidates.len())
+        .filter(|index| is_tied(index) && nearness(*index) == nearest)
         .collect();
     tied.get(index_for_draw(tied.len(), draw)).copied()
 }
--- a/src/entry/target/precheck.rs
+++ b/src/entry/target/precheck.rs
@@ -24,7 +24,7 @@
     /// Targets that a request is checked against at most.
     pub max_checks: u32,
     /// Difference in cost, in units of usual work, for which another target is preferred
-    /// after a check.
+    /// after a check: going there takes further round trips, and its report is older.
     pub switch_margin: f64,
     /// Window in which the checks of one target are limited.
     pub window: Duration,
@@ -93,10 +93,10 @@
     {
         return false;
     }
-    let limit = placement::cost(checked, placement) - settings.switch_margin;
+    let cost = |target: &Candidate| placement::cost(target, requirements.service_time, placement);
+    let limit = cost(checked) - settings.switch_margin;
     let is_better = |other: &Candidate| {
-        placement::finishes_in_time(other, requirements, placement)
-            && placement::cost(other, placement) < limit
+        placement::finishes_in_time(other, requirements, placement) && cost(other) < limit
     };
     !others.iter().any(is_better)
 }
--- a/src/entry/target/precheck/tests.rs
+++ b/src/entry/target/precheck/tests.rs
@@ -6,6 +6,7 @@
         occupied,
         slots: 6.0,
         load_factor: 1.0,
+        round_trip: Duration::ZERO,
         same_zone: true,
         connected: true,
         healthy: true,
--- a/src/entry/target/targets/view.rs
+++ b/src/entry/target/targets/view.rs
@@ -63,6 +63,8 @@
     failure_rate: f64,
     failure_rate_at: Time,
     cold_requests: SlidingWindow,
+    /// Round trip to it, as last measured over a new connection or by a check; zero before.
+    pub round_trip: Duration,
     /// What its responses say about further requests.
     pub notice: TargetNotice,
     /// Limit that it names, and what this instance has sent to it.
@@ -116,6 +118,7 @@
             failure_rate: 0.0,
             failure_rate_at: now,
             cold_requests: SlidingWindow::default(),
+            round_trip: Duration::ZERO,
             notice,
             limit: TargetLimit::default(),
             path: TargetPath::default(),
@@ -323,6 +326,7 @@
             occupied,
             slots,
             load_factor: curve.factor((occupied + 1.0) / slots.max(1.0)),
+            round_trip: self.round_trip,
             same_zone: self.target.zone == *own_zone,
             connected: self.open_connections() > self.in_flight as usize,
             healthy: self.health == Health::Good,
