Search fixed cases for the faults that property tests must detect

Cause: it plays random cases for a tenth of a second; on a busy machine these are few, and none of them showed the fault that the test switches on. The same holds for the other searches of this kind (ten assertions in nine tests).

Change: they play up to 4,000 cases from a fixed list of starts, of ten sizes, and end with the first that is found, so the verdict is the same on every run. It is not looser: what is looked for is the same, and has to be found each time.

--- a/src/admission/limit/tests.rs
+++ b/src/admission/limit/tests.rs
@@ -217,11 +217,7 @@
 
 #[test]
 fn property_test_detects_a_missing_ramp() {
-    let mut found = false;
-    arbtest::arbtest(|u| {
-        found |= exceeds_ramp(u, false)?;
-        Ok(())
-    });
+    let found = testing::search::finds(|u| exceeds_ramp(u, false));
     assert!(
         found,
         "the property test must fail when the ramp is disabled"
--- a/src/admission/probe/tests.rs
+++ b/src/admission/probe/tests.rs
@@ -55,11 +55,7 @@
 
 #[test]
 fn property_test_detects_missing_budgets() {
-    let mut found = false;
-    arbtest::arbtest(|u| {
-        found |= exceeds_budget(u, false)?;
-        Ok(())
-    });
+    let found = testing::search::finds(|u| exceeds_budget(u, false));
     assert!(
         found,
         "the property test must fail when the budgets are disabled"
--- a/src/admission/queue/tests.rs
+++ b/src/admission/queue/tests.rs
@@ -168,10 +168,6 @@
 
 #[test]
 fn property_test_detects_missing_turns() {
-    let mut found = false;
-    arbtest::arbtest(|u| {
-        found |= max_lead(u, false)? > MAX_FAIR_LEAD;
-        Ok(())
-    });
+    let found = testing::search::finds(|u| Ok(max_lead(u, false)? > MAX_FAIR_LEAD));
     assert!(found, "the property test must fail when turns are disabled");
 }
--- a/src/admission/shard/tests/properties.rs
+++ b/src/admission/shard/tests/properties.rs
@@ -205,12 +205,7 @@
 
 /// Whether some random run under these rules shows the violation.
 fn found(rules: ShardRules, what: Violation) -> bool {
-    let mut found = false;
-    arbtest::arbtest(|u| {
-        found |= violations(u, rules)?.contains(&what);
-        Ok(())
-    });
-    found
+    testing::search::finds(|u| Ok(violations(u, rules)?.contains(&what)))
 }
 
 #[test]
--- a/src/admission/share/tests.rs
+++ b/src/admission/share/tests.rs
@@ -102,11 +102,9 @@
 
 #[test]
 fn property_test_detects_counting_only_the_last_share() {
-    let mut found = false;
-    arbtest::arbtest(|u| {
+    let found = testing::search::finds(|u| {
         let (calls, rates) = max_totals(u, false)?;
-        found |= calls > LIMIT || rates > 100.0 + 1e-6;
-        Ok(())
+        Ok(calls > LIMIT || rates > 100.0 + 1e-6)
     });
     assert!(
         found,
--- a/src/dispatch/keyed/tests.rs
+++ b/src/dispatch/keyed/tests.rs
@@ -160,10 +160,6 @@
 
 #[test]
 fn check_detects_records_wrongly_taken_for_abandoned() {
-    let mut found = false;
-    arbtest(|u| {
-        found |= allowed_runs(false, u) > 1;
-        Ok(())
-    });
+    let found = testing::search::finds(|u| Ok(allowed_runs(false, u) > 1));
     assert!(found);
 }
--- a/src/dispatch/quarantine/tests.rs
+++ b/src/dispatch/quarantine/tests.rs
@@ -231,11 +231,7 @@
         isolate_suspects: false,
         ..QuarantineSettings::default()
     };
-    let mut found = false;
-    arbtest(|u| {
-        found |= violates_rule(settings.clone(), u);
-        Ok(())
-    });
+    let found = testing::search::finds(|u| Ok(violates_rule(settings.clone(), u)));
     assert!(found);
 }
 
--- a/src/dispatch/retry/tests.rs
+++ b/src/dispatch/retry/tests.rs
@@ -154,9 +154,6 @@
     }
 }
 
-/// Searches for a violation that must be found.
-const MAX_SEARCHES: usize = 100;
-
 fn violates_rule(settings: &RetrySettings, u: &mut Unstructured<'_>) -> bool {
     let repeatable = u.arbitrary().unwrap_or(false);
     let (runs, reported) = run_call(settings, repeatable, u);
@@ -178,16 +175,6 @@
         protect_non_repeatable: false,
         ..RetrySettings::default()
     };
-    // One search is bounded by time, and does little on a busy machine.
-    let mut found = false;
-    for _ in 0..MAX_SEARCHES {
-        arbtest(|u| {
-            found |= violates_rule(&settings, u);
-            Ok(())
-        });
-        if found {
-            return;
-        }
-    }
-    panic!("no violation found");
+    let found = testing::search::finds(|u| Ok(violates_rule(&settings, u)));
+    assert!(found, "no violation found");
 }
--- a/src/entry/target/target_limit/tests.rs
+++ b/src/entry/target/target_limit/tests.rs
@@ -163,10 +163,5 @@
 
 #[test]
 fn the_check_finds_instances_that_each_use_the_limit() {
-    let mut found = false;
-    arbtest::arbtest(|u| {
-        found |= exceeds_rule(u, true)?;
-        Ok(())
-    });
-    assert!(found);
+    assert!(testing::search::finds(|u| exceeds_rule(u, true)));
 }
--- a/testing/src/lib.rs
+++ b/testing/src/lib.rs
@@ -1,6 +1,8 @@
 //! Helpers of the integration tests: instances as real processes, resources and an HTTP client.
 //! They panic where a test can't go on.
 
+pub mod search;
+
 use std::future::Future;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
