Let the shortest round trip to a target count

A busy instance reads the response to a check late. The last measured time was kept, so one such time kept requests from the target, and with them the measurements that could have corrected it (found by reading, not seen in a play).

The shortest time is that of the way, more is due to the instance or the target, whose slowness and fill count already.

Evidence: the_shortest_round_trip_to_a_target_counts; the code before took the last one (40 ms of 9, 2 and 40).

--- a/src/entry/request/attempt.rs
+++ b/src/entry/request/attempt.rs
@@ -306,10 +306,10 @@
         }
     }
 
-    /// Records how long a target took to respond to what takes it no time of its own.
+    /// Records how long a target took to accept a connection or answer a check.
     fn record_round_trip(&self, choice: &ChosenTarget, took: Duration) {
         if let Some(view) = self.state().targets.run_mut(choice.run) {
-            view.round_trip = took;
+            view.record_round_trip(took);
         }
     }
 
--- a/src/entry/target/placement.rs
+++ b/src/entry/target/placement.rs
@@ -59,7 +59,7 @@
     /// Factor by which work takes longer there with another request; see
     /// [`LoadCurve`](crate::entry::target::load_curve::LoadCurve).
     pub load_factor: f64,
-    /// Round trip to it, as last measured; zero before.
+    /// Shortest round trip to it that was measured; zero before.
     pub round_trip: Duration,
     /// Whether it is in this instance's zone.
     pub same_zone: bool,
--- a/src/entry/target/targets/tests.rs
+++ b/src/entry/target/targets/tests.rs
@@ -180,6 +180,19 @@
     assert!((view.occupied() - 4.0).abs() < f64::EPSILON);
 }
 
+/// A busy instance reads a response late; such a time kept requests from the target, which
+/// could have corrected it.
+#[test]
+fn the_shortest_round_trip_to_a_target_counts() {
+    let mut table = table(target("t"));
+    let view = table.get_mut(&"t".into()).unwrap();
+    for (took_ms, expected_ms) in [(9, 9), (2, 2), (40, 2)] {
+        view.record_round_trip(Duration::from_millis(took_ms));
+        let candidate = view.candidate(NOW, &"a".into(), &LoadCurve::default());
+        assert_eq!(candidate.round_trip, Duration::from_millis(expected_ms));
+    }
+}
+
 #[test]
 fn slowness_of_an_old_report_is_ignored() {
     let mut table = table(target("t"));
--- a/src/entry/target/targets/view.rs
+++ b/src/entry/target/targets/view.rs
@@ -63,8 +63,7 @@
     failure_rate: f64,
     failure_rate_at: Time,
     cold_requests: SlidingWindow,
-    /// Round trip to it, as last measured over a new connection or by a check; zero before.
-    pub round_trip: Duration,
+    round_trip: Option<Duration>,
     /// What its responses say about further requests.
     pub notice: TargetNotice,
     /// Limit that it names, and what this instance has sent to it.
@@ -118,7 +117,7 @@
             failure_rate: 0.0,
             failure_rate_at: now,
             cold_requests: SlidingWindow::default(),
-            round_trip: Duration::ZERO,
+            round_trip: None,
             notice,
             limit: TargetLimit::default(),
             path: TargetPath::default(),
@@ -213,6 +212,13 @@
         self.down_until = Time::ZERO;
     }
 
+    /// Records how long it took to respond to what takes it no time of its own. The shortest
+    /// time is that of the way; more is due to this instance or the target, and would keep
+    /// requests from it that could find out.
+    pub fn record_round_trip(&mut self, took: Duration) {
+        self.round_trip = Some(self.round_trip.map_or(took, |known| known.min(took)));
+    }
+
     /// Records whether a request failed.
     pub fn record_outcome(&mut self, now: Time, failed: bool) {
         let before = self.current_failure_rate(now);
@@ -326,7 +332,7 @@
             occupied,
             slots,
             load_factor: curve.factor((occupied + 1.0) / slots.max(1.0)),
-            round_trip: self.round_trip,
+            round_trip: self.round_trip.unwrap_or_default(),
             same_zone: self.target.zone == *own_zone,
             connected: self.open_connections() > self.in_flight as usize,
             healthy: self.health == Health::Good,
