Learn nothing of the speed of targets while all of them are cold

What callers would see: when all targets of a service had been cold or limited, the mean speed counted as 0, and for about a second after they had warmed up requests were refused that fitted.

Cause: supply recorded a mean speed of targets though none was summed (found when reading the change again).

Evidence: cold_targets_say_nothing_of_the_speed_of_others failed before (speed 0.18 of 12 slots, 0.2 s later) and passes now.

--- a/src/entry/target/supply.rs
+++ b/src/entry/target/supply.rs
@@ -116,7 +116,7 @@
     usual_slots: f64,
     /// Times until the requests of this instance end that run there.
     own: Vec<Duration>,
-    /// Slots that the requests fill which limited targets take in a second.
+    /// Slots that are filled by as many requests a second as limited and cold targets take.
     limited_slots: f64,
     /// Slots of the targets that take requests later, and the shortest time until then.
     later_slots: f64,
@@ -146,12 +146,8 @@
         let mut opens_in = sums.opens_in.unwrap_or_default();
         if sums.slots > 0.0 || sums.limited_slots > 0.0 {
             opens_in = Duration::ZERO;
-            let speed = sums.usual_slots / sums.slots.max(1.0);
-            let known = self.mean_speeds.get(service).copied();
-            let known = MeanSpeed::next(known, now, speed);
-            self.mean_speeds.insert(service.clone(), known);
             slots = (sums.slots / instances).max(as_f64(sums.own.len()));
-            usual_slots = slots * known.mean + sums.limited_slots;
+            usual_slots = slots * self.mean_speed(now, service, &sums) + sums.limited_slots;
             slots += sums.limited_slots;
         }
         let count = ceil(slots);
@@ -170,6 +166,19 @@
         }
     }
 
+    /// Mean speed of the targets of a service that take requests; 1.0 if there are none, of
+    /// which nothing is learned.
+    fn mean_speed(&mut self, now: Time, service: &ServiceName, sums: &Sums) -> f64 {
+        if sums.slots <= 0.0 {
+            return 1.0;
+        }
+        let speed = sums.usual_slots / sums.slots;
+        let known = self.mean_speeds.get(service).copied();
+        let known = MeanSpeed::next(known, now, speed);
+        self.mean_speeds.insert(service.clone(), known);
+        known.mean
+    }
+
     fn sum_targets(
         &mut self,
         now: Time,
--- a/src/entry/target/supply/tests.rs
+++ b/src/entry/target/supply/tests.rs
@@ -114,3 +114,18 @@
     assert!(cold.opens_in.is_zero(), "{cold:?}");
     assert!((usual_slots(&cold) - 0.5 / 1.15).abs() < 0.01, "{cold:?}");
 }
+
+/// They counted as stopped, so that requests were refused once targets had warmed up.
+#[test]
+fn cold_targets_say_nothing_of_the_speed_of_others() {
+    let shared = two_targets();
+    let now = Time::from_secs(100);
+    for id in ["t0", "t1"] {
+        change(&shared, id, |view| {
+            view.set_cold_for(now, Duration::from_millis(100));
+        });
+    }
+    supply(&shared, now);
+    let warm = supply(&shared, now.after(Duration::from_millis(200)));
+    assert!((usual_slots(&warm) - 12.0).abs() < 0.01, "{warm:?}");
+}
