Know outages of the store by the age of its answers, not by removals

Callers saw: a server that left without a report, just after another one of its service, got requests for 2.2 s more, although the store had answered all the time. Orders that reached it as it exited were answered 502.

Cause: `lapsed_services` took a batch that removes half of a service's targets, at least two, for leases that expired in an outage. Whether there was one was not recorded: an instance only knew that it or a peer "watches", which stays true while a watch hangs.

Now instances record when the store last answered and tell its age in their heartbeats (earlier releases ignore it, and are taken at their word). The store counts as unavailable when no instance has had an answer for the lesser of config_ms and drain_ms. Watches end one after the other, so that in calm there is an answer each 0.7 s with as many calls. The last targets of a service are used for 3/4 of that limit from the last answer without their removal: a server that leaves serves for the whole of it, so both readings are safe.

A heartbeat has room for one report less.

--- a/src/entry/fleet/members.rs
+++ b/src/entry/fleet/members.rs
@@ -44,11 +44,25 @@
     pub last_direct: Option<Time>,
     /// When a heartbeat was last sent to it; `None` before the first.
     pub last_sent: Option<Time>,
+    /// When the store last answered it, by its heartbeats.
+    pub store_answer: Option<Time>,
     /// Status in its last heartbeat.
     pub status: InstanceStatus,
 }
 
 impl Member {
+    /// Takes over a status that was sent at `at`.
+    fn record_status(&mut self, at: Time, status: &InstanceStatus) {
+        let answer = match status.store_answer_age_ms {
+            Some(age_ms) => Some(at.before(Duration::from_millis(age_ms.into()))),
+            // Earlier releases don't tell it.
+            None => (status.store == StoreAccess::Watching).then_some(at),
+        };
+        self.store_answer = self.store_answer.max(answer);
+        self.last_heartbeat = Some(at);
+        self.status = status.clone();
+    }
+
     /// Whether it may probe targets: it is not shutting down, and reaches them.
     fn may_probe(&self) -> bool {
         !self.status.leaving && !self.status.cut_off
@@ -77,6 +91,10 @@
     /// What identifies the records in its replica, encoded like `era`; `None` from earlier releases.
     #[serde(skip)]
     pub checksum: Option<Checksum>,
+    /// Milliseconds since the store last answered it, in a message, encoded like `era`;
+    /// `None` before the first answer and from earlier releases.
+    #[serde(skip)]
+    pub store_answer_age_ms: Option<u16>,
     /// Version of its configuration; 0 before the first one.
     pub version: u64,
 }
@@ -102,12 +120,19 @@
 }
 
 /// Whether the next heartbeat contains significant changes, by receiver.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each flag is an independent reason to send"
+)]
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PendingUpdates {
     /// For the peers in the same zone.
     pub same_zone: bool,
     /// For the peers in other zones.
     pub other_zones: bool,
+    /// For the peers that are due the next regular heartbeat: what this instance knows of the
+    /// store.
+    pub store: bool,
     /// For every live peer at once, as at a shutdown.
     pub all: bool,
 }
@@ -149,6 +174,7 @@
             last_heartbeat: None,
             last_direct: None,
             last_sent: None,
+            store_answer: None,
             status: InstanceStatus::default(),
         };
         self.by_address.insert(address, member);
@@ -177,9 +203,8 @@
         let was_live = self.is_live(now, address);
         if let Some(member) = self.by_address.get_mut(&address) {
             member.zone = heartbeat.zone.clone();
-            member.last_heartbeat = Some(now);
             member.last_direct = Some(now);
-            member.status = heartbeat.status.clone();
+            member.record_status(now, &heartbeat.status);
         }
         !was_live
     }
@@ -196,8 +221,7 @@
             && member.last_heartbeat.is_none_or(|known| known < at)
         {
             member.zone = relayed.zone.clone();
-            member.last_heartbeat = Some(at);
-            member.status = relayed.status.clone();
+            member.record_status(at, &relayed.status);
         }
     }
 
@@ -365,22 +389,15 @@
         })
     }
 
-    /// Whether any other live instance watches the store.
-    #[must_use]
-    pub fn is_store_watched(&self, now: Time) -> bool {
-        self.live(now)
-            .any(|(_, member)| member.status.store == StoreAccess::Watching)
-    }
-
-    /// When the last heartbeat of an instance that watched the store was sent or arrived;
-    /// `None` before the first.
+    /// When the store last answered an instance whose newest change is not after `position`;
+    /// `None` before the first answer.
     #[must_use]
-    pub fn last_watcher_heartbeat(&self) -> Option<Time> {
-        let watchers = self
+    pub fn last_store_answer(&self, position: Position) -> Option<Time> {
+        let reached = self
             .by_address
             .values()
-            .filter(|member| member.status.store == StoreAccess::Watching);
-        watchers.filter_map(|member| member.last_heartbeat).max()
+            .filter(|member| member.status.position() <= position);
+        reached.filter_map(|member| member.store_answer).max()
     }
 
     /// Whether so many instances are known that heartbeats are sent less often.
--- a/src/entry/fleet/members/receivers.rs
+++ b/src/entry/fleet/members/receivers.rs
@@ -39,7 +39,7 @@
         let silence_timeout = self.silence_timeout();
         let is_relayed = self.is_large() && !updates.all;
         if is_relayed {
-            other_zones = self.due_relays(now, zone);
+            other_zones = self.due_relays(now, zone, updates.store);
         }
         for (address, member) in &mut self.by_address {
             if is_relayed && member.zone != *zone {
@@ -55,11 +55,12 @@
                 heartbeat_interval(
                     count,
                     is_same_zone,
-                    if is_same_zone {
-                        updates.same_zone
-                    } else {
-                        updates.other_zones
-                    },
+                    updates.store
+                        || if is_same_zone {
+                            updates.same_zone
+                        } else {
+                            updates.other_zones
+                        },
                 )
             } else {
                 SILENT_PEER_INTERVAL
@@ -79,8 +80,8 @@
 
     /// Picks instances in each other zone that relay the next heartbeat there, and records
     /// it as sent to them: those that were sent one longest ago. The order of the others
-    /// differs between senders.
-    fn due_relays(&mut self, now: Time, own_zone: &ZoneName) -> Vec<SocketAddr> {
+    /// differs between senders. With `has_updates`, each zone is due one.
+    fn due_relays(&mut self, now: Time, own_zone: &ZoneName, has_updates: bool) -> Vec<SocketAddr> {
         let own = self.own;
         let mut zones: IndexMap<ZoneName, Vec<(Option<Time>, u64, SocketAddr)>> = IndexMap::new();
         for (address, member) in &self.by_address {
@@ -96,7 +97,7 @@
                 .iter()
                 .filter_map(|(last_sent, ..)| *last_sent)
                 .max();
-            if last.is_none_or(|at| now.since(at) >= LARGE_OTHER_ZONE_INTERVAL) {
+            if has_updates || last.is_none_or(|at| now.since(at) >= LARGE_OTHER_ZONE_INTERVAL) {
                 due.extend(
                     instances
                         .iter()
--- a/src/entry/fleet/members/tests.rs
+++ b/src/entry/fleet/members/tests.rs
@@ -12,6 +12,7 @@
     PendingUpdates {
         same_zone: has_updates,
         other_zones: has_updates,
+        store: false,
         all: false,
     }
 }
@@ -375,3 +376,67 @@
     let known: Vec<_> = members.known().map(|(address, _)| address).collect();
     assert_eq!(known, [address(2)]);
 }
+
+/// What is known of the store's last answer: from heartbeats, through relays, and from
+/// instances whose changes this one has.
+#[test]
+fn the_last_answer_counts_once_its_content_is_here() {
+    let told = |revision, store_answer_age_ms| Heartbeat {
+        status: InstanceStatus {
+            revision,
+            store_answer_age_ms,
+            ..heartbeat(true).status
+        },
+        ..heartbeat(true)
+    };
+    let position = |revision| Position { era: 0, revision };
+    let mut members = Members::new(address(0), SILENCE_TIMEOUT, Duration::from_secs(60));
+    let now = Time::from_secs(10);
+    assert_eq!(members.last_store_answer(position(9)), None);
+    members.record_heartbeat(now, address(1), &told(5, Some(700)));
+    members.record_heartbeat(now, address(2), &told(6, Some(100)));
+    let ago = |millis| Some(now.before(Duration::from_millis(millis)));
+    assert_eq!(members.last_store_answer(position(4)), None);
+    assert_eq!(members.last_store_answer(position(5)), ago(700));
+    assert_eq!(members.last_store_answer(position(6)), ago(100));
+    let relayed = RelayedStatus {
+        address: address(3),
+        zone: "b".into(),
+        status: told(5, Some(200)).status,
+        age_ms: 150,
+    };
+    members.record_relayed(now, &relayed);
+    assert_eq!(members.last_store_answer(position(5)), ago(350));
+    // One that is stopped is heard no more, and its answer does not become younger.
+    let later = now.after(Duration::from_secs(60));
+    members.record_heartbeat(later, address(1), &told(5, Some(60_700)));
+    assert_eq!(members.last_store_answer(position(5)), ago(350));
+}
+
+/// What an instance knows of the store reaches the others before its next regular heartbeat.
+#[test]
+fn news_of_the_store_are_sent_early() {
+    for others in [13_u8, 100] {
+        let mut members = Members::new(address(0), SILENCE_TIMEOUT, Duration::from_secs(60));
+        let now = Time::from_secs(1);
+        for other in 1..=others {
+            let zone = if other % 2 == 0 { "a" } else { "b" };
+            let heartbeat = Heartbeat {
+                zone: zone.into(),
+                ..heartbeat(false)
+            };
+            members.record_heartbeat(now, address(other), &heartbeat);
+        }
+        let mut sent_to_others = |now, store| {
+            let updates = PendingUpdates {
+                store,
+                ..updates(false)
+            };
+            members.due_heartbeats(now, &"a".into(), updates).1.len()
+        };
+        let all = sent_to_others(now, false);
+        let soon = now.after(Duration::from_millis(100));
+        assert_eq!(sent_to_others(soon, false), 0, "{others}");
+        assert_eq!(sent_to_others(soon, true), all, "{others}");
+    }
+}
--- a/src/entry/fleet/message.rs
+++ b/src/entry/fleet/message.rs
@@ -21,7 +21,7 @@
 /// Maximum datagram size: below the usual packet size without headers.
 pub const MAX_DATAGRAM: usize = 1400;
 /// Maximum reports in a heartbeat, so that it fits [`MAX_DATAGRAM`].
-pub const MAX_REPORTS: usize = 38;
+pub const MAX_REPORTS: usize = 37;
 /// Maximum statuses of other zones' instances in a heartbeat.
 pub const MAX_RELAYED: usize = 8;
 /// Maximum quarantine cases in a heartbeat.
@@ -224,6 +224,15 @@
     relayed_checksums: Vec<Option<Checksum>>,
 }
 
+/// What follows a [`ChecksumExtension`], where earlier releases ignore it.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct StoreExtension {
+    /// Milliseconds since the store last answered the sender.
+    answer_age_ms: Option<u16>,
+    /// The same of the relayed statuses, in their order, when they were sent.
+    relayed_answer_ages_ms: Vec<Option<u16>>,
+}
+
 /// Encodes a heartbeat. Statuses of other zones' instances, for peers in the same zone,
 /// and fields that earlier releases don't know follow it.
 ///
@@ -256,12 +265,20 @@
             .map(|relayed| relayed.status.checksum)
             .collect(),
     };
+    let store = StoreExtension {
+        answer_age_ms: heartbeat.status.store_answer_age_ms,
+        relayed_answer_ages_ms: relayed
+            .iter()
+            .map(|relayed| relayed.status.store_answer_age_ms)
+            .collect(),
+    };
     let mut bytes = encode(&Datagram::Heartbeat(Box::new(heartbeat)))?;
     bytes.extend(postcard::to_stdvec(relayed)?);
     bytes.extend(postcard::to_stdvec(&extension)?);
     bytes.extend(postcard::to_stdvec(&reach)?);
     bytes.extend(postcard::to_stdvec(&leaving)?);
     bytes.extend(postcard::to_stdvec(&checksums)?);
+    bytes.extend(postcard::to_stdvec(&store)?);
     Ok(bytes)
 }
 
@@ -282,11 +299,13 @@
     let (extension, rest): (HeartbeatExtension, &[u8]) = postcard::take_from_bytes(rest)?;
     let (reach, rest): (ReachExtension, &[u8]) = take_extension(rest)?;
     let (leaving, rest): (LeavingExtension, &[u8]) = take_extension(rest)?;
-    let (checksums, _): (ChecksumExtension, &[u8]) = take_extension(rest)?;
+    let (checksums, rest): (ChecksumExtension, &[u8]) = take_extension(rest)?;
+    let (store, _): (StoreExtension, &[u8]) = take_extension(rest)?;
     if let Datagram::Heartbeat(heartbeat) = &mut datagram {
         heartbeat.status.era = extension.era;
         heartbeat.status.cut_off = reach.cut_off;
         heartbeat.status.checksum = checksums.checksum;
+        heartbeat.status.store_answer_age_ms = store.answer_age_ms;
         heartbeat.evidence = extension.evidence;
         heartbeat.limits = extension.limits;
         heartbeat.leaving = leaving.leaving;
@@ -300,6 +319,9 @@
     for (relayed, checksum) in relayed.iter_mut().zip(checksums.relayed_checksums) {
         relayed.status.checksum = checksum;
     }
+    for (relayed, age_ms) in relayed.iter_mut().zip(store.relayed_answer_ages_ms) {
+        relayed.status.store_answer_age_ms = age_ms;
+    }
     Ok((datagram, relayed))
 }
 
--- a/src/entry/fleet/message/tests.rs
+++ b/src/entry/fleet/message/tests.rs
@@ -88,6 +88,7 @@
             era: u64::MAX,
             revision: u64::MAX,
             checksum: Some(CHECKSUM),
+            store_answer_age_ms: Some(u16::MAX),
             version: u64::MAX,
         },
         reports: vec![
@@ -173,13 +174,23 @@
     }
 }
 
-/// Length of the extension for checksums if there are none, with as many relayed statuses.
+/// Length of the extension for answers of the store if there are none, with as many relayed
+/// statuses.
+fn store_length(relayed: usize) -> usize {
+    let store = StoreExtension {
+        answer_age_ms: None,
+        relayed_answer_ages_ms: vec![None; relayed],
+    };
+    postcard::to_stdvec(&store).unwrap().len()
+}
+
+/// The same of the extension for checksums and what follows it.
 fn checksum_length(relayed: usize) -> usize {
     let checksums = ChecksumExtension {
         checksum: None,
         relayed_checksums: vec![None; relayed],
     };
-    postcard::to_stdvec(&checksums).unwrap().len()
+    postcard::to_stdvec(&checksums).unwrap().len() + store_length(relayed)
 }
 
 #[test]
@@ -207,7 +218,8 @@
         checksum: Some(CHECKSUM),
         relayed_checksums: vec![Some(CHECKSUM), None],
     });
-    let earlier = &bytes[..bytes.len() - checksums.unwrap().len()];
+    let later = checksums.unwrap().len() + store_length(2);
+    let earlier = &bytes[..bytes.len() - later];
     let (Datagram::Heartbeat(decoded), relayed) = decode_datagram(earlier).unwrap() else {
         panic!("not a heartbeat");
     };
@@ -215,6 +227,42 @@
     assert_eq!(relayed[0].status.checksum, None);
 }
 
+#[test]
+fn ages_of_answers_are_told_also_beside_releases_that_do_not() {
+    let with_age = |store_answer_age_ms| InstanceStatus {
+        store_answer_age_ms,
+        ..heartbeat(4).status
+    };
+    let sent = Heartbeat {
+        status: with_age(Some(800)),
+        ..heartbeat(4)
+    };
+    let statuses = [Some(u16::MAX), None].map(|age| RelayedStatus {
+        status: with_age(age),
+        ..relayed(2)
+    });
+    let bytes = encode_heartbeat(sent.clone(), &statuses).unwrap();
+    let decoded = decode_datagram(&bytes).unwrap();
+    assert_eq!(
+        decoded,
+        (
+            Datagram::Heartbeat(Box::new(sent)),
+            Vec::from(statuses.clone())
+        )
+    );
+    // A release without them sends and decodes a heartbeat up to this extension.
+    let ages = postcard::to_stdvec(&StoreExtension {
+        answer_age_ms: Some(800),
+        relayed_answer_ages_ms: vec![Some(u16::MAX), None],
+    });
+    let earlier = &bytes[..bytes.len() - ages.unwrap().len()];
+    let (Datagram::Heartbeat(decoded), relayed) = decode_datagram(earlier).unwrap() else {
+        panic!("not a heartbeat");
+    };
+    assert_eq!(decoded.status.store_answer_age_ms, None);
+    assert_eq!(relayed[0].status.store_answer_age_ms, None);
+}
+
 #[test]
 fn eras_are_decoded_with_their_statuses() {
     let sent = [relayed(2), relayed(3)];
--- a/src/entry/fleet/mod.rs
+++ b/src/entry/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod comparison;
 pub(crate) mod digest;
 pub(crate) mod directory;
+pub(crate) mod freshness;
 pub(crate) mod homes;
 pub(crate) mod members;
 pub(crate) mod message;
--- a/src/entry/fleet/sync.rs
+++ b/src/entry/fleet/sync.rs
@@ -87,9 +87,13 @@
         };
         match result {
             Ok(()) => {
-                if pending_read.take().is_none() {
+                if pending_read.is_none() {
                     rereads = Backoff::new();
                 }
+                // What a stale read lacks comes with the first watch.
+                if pending_read.take() != Some(ReadConsistency::Stale) {
+                    shared.state().record_store_answer(shared.now());
+                }
                 backoff = Backoff::new();
                 set_access(&shared, StoreAccess::Watching);
             }
@@ -174,11 +178,11 @@
 }
 
 async fn watch(shared: &Shared, store_client: &mut StoreClient) -> Result<(), StoreError> {
-    let (position, wait, batch_delay) = {
+    let (position, batch_delay) = {
         let state = shared.state();
-        let wait = watch_timeout(state.watches(), &state.tuning);
-        (state.replica.position(), wait, state.tuning.batch_delay)
+        (state.replica.position(), state.tuning.batch_delay)
     };
+    let wait = next_wait(shared);
     let progress = store_client.progress();
     let change_set = tokio::select! {
         change_set = store_client.watch(position, wait) => change_set?,
@@ -195,17 +199,24 @@
     Ok(())
 }
 
-/// Wait of the next watch. While the store may be unreachable, a watch must not wait
-/// long for a response that never comes: when the store becomes silent and returns,
-/// connections from before stay silent.
-fn watch_timeout(is_reachable: bool, tuning: &Tuning) -> Duration {
-    if is_reachable {
-        tuning.watch_timeout
+/// Wait of the next watch.
+fn next_wait(shared: &Shared) -> Duration {
+    let now = shared.now();
+    let state = shared.state();
+    if state.watches() {
+        state.watch_wait(now)
     } else {
-        CONFIRM_TIMEOUT.min(tuning.watch_timeout)
+        confirm_timeout(&state.tuning)
     }
 }
 
+/// Wait of a watch while the store may be unreachable. It must not wait long for a response
+/// that never comes: when the store becomes silent and returns, connections from before stay
+/// silent.
+fn confirm_timeout(tuning: &Tuning) -> Duration {
+    CONFIRM_TIMEOUT.min(tuning.watch_timeout)
+}
+
 /// Returns once peers have had changes for [`STALL_TIMEOUT`] that the own watch after `start`
 /// has not delivered, and nothing of its response has arrived for as long.
 async fn watch_stalled(shared: &Shared, start: Position, progress: &ResponseProgress) {
--- a/src/entry/fleet/sync/tests.rs
+++ b/src/entry/fleet/sync/tests.rs
@@ -11,13 +11,18 @@
 fn max_detection_delay(tuning: &Tuning, is_reachable: bool) -> Duration {
     // A response that had begun may have stalled.
     let silent = |wait: Duration| (wait + WATCH_MARGIN).max(RESPONSE_STALL_TIMEOUT);
+    let wait = if is_reachable {
+        tuning.watch_timeout
+    } else {
+        confirm_timeout(tuning)
+    };
     // The backoff is shortest after a response and longest after many failures.
     let pause = if is_reachable {
         BACKOFF_RANGE.0
     } else {
         BACKOFF_RANGE.1
     };
-    silent(watch_timeout(is_reachable, tuning)) + pause + silent(watch_timeout(false, tuning))
+    silent(wait) + pause + silent(confirm_timeout(tuning))
 }
 
 #[test]
@@ -33,9 +38,14 @@
 
 #[test]
 fn a_watch_waits_long_only_after_a_response_of_the_store() {
-    let tuning = Tuning::default();
-    assert_eq!(watch_timeout(true, &tuning), tuning.watch_timeout);
-    assert!(watch_timeout(false, &tuning) < tuning.watch_timeout / 4);
+    let shared = instance_with(&[]);
+    let confirm = confirm_timeout(&Tuning::default());
+    assert_eq!(next_wait(&shared), confirm);
+    set_access(&shared, StoreAccess::Watching);
+    let wait = next_wait(&shared);
+    assert!(wait > confirm, "{wait:?}");
+    set_access(&shared, StoreAccess::Lost);
+    assert_eq!(next_wait(&shared), confirm);
 }
 
 /// What the store holds under a key is replaced at its revision while it is invalid, and
--- a/src/entry/fleet/watchers.rs
+++ b/src/entry/fleet/watchers.rs
@@ -58,6 +58,45 @@
     lacking >= TAKEOVER_DELAY && ahead(StoreAccess::Unused) + not_skipped < missing
 }
 
+/// When the watches of the present watchers end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WatchSchedule {
+    /// Time between the ends of two watches, whichever watchers they are of.
+    pub interval: Duration,
+    /// Longest wait of a watch.
+    pub max_wait: Duration,
+    /// Watchers before this one in the order.
+    pub ahead: usize,
+    /// All watchers.
+    pub watching: usize,
+}
+
+impl WatchSchedule {
+    /// Wait of the next watch, `since_change` after the last change of the copy. Each change
+    /// starts all watches at the same time, but they end one after the other: an answer
+    /// without changes, too, shows that the copies are up to date.
+    #[must_use]
+    pub fn wait(&self, since_change: Duration) -> Duration {
+        let count = u32::try_from(self.watching.max(1)).unwrap_or(u32::MAX);
+        let turn = u32::try_from(self.ahead + 1).unwrap_or(u32::MAX).min(count);
+        let cycle = self.interval.saturating_mul(count).min(self.max_wait);
+        let end = cycle.mul_f64(f64::from(turn) / f64::from(count));
+        let into_cycle = since_change.as_secs_f64() % cycle.as_secs_f64().max(f64::EPSILON);
+        let into_cycle = Duration::from_secs_f64(into_cycle);
+        let wait = if into_cycle < end {
+            end.saturating_sub(into_cycle)
+        } else {
+            (end + cycle).saturating_sub(into_cycle)
+        };
+        // A watch that ended a little early is not followed by one for the rest of its turn.
+        if wait < self.interval / 2 {
+            (wait + cycle).min(self.max_wait)
+        } else {
+            wait
+        }
+    }
+}
+
 /// Number of `instances` that watch.
 #[must_use]
 pub fn watching(instances: &[Watcher]) -> usize {
--- a/src/entry/fleet/watchers/tests.rs
+++ b/src/entry/fleet/watchers/tests.rs
@@ -180,3 +180,49 @@
         assert_eq!(late, 0, "{count} instances: no more calls");
     }
 }
+
+/// Guards against watches that all end at the same time after each change: the copies would
+/// count as up to date for long, though no watch may reach the store any more.
+#[test]
+fn watches_end_one_after_the_other() {
+    let interval = Duration::from_millis(700);
+    let latency = Duration::from_millis(8);
+    for (watching, since_change) in (1..=4).flat_map(|count| [0, 250, 900].map(|ms| (count, ms))) {
+        let mut answers = Vec::new();
+        for ahead in 0..watching {
+            let schedule = WatchSchedule {
+                interval,
+                max_wait: Duration::from_millis(2800),
+                ahead,
+                watching,
+            };
+            let mut at = Duration::from_millis(since_change);
+            while at < Duration::from_secs(30) {
+                let wait = schedule.wait(at);
+                assert!(wait <= schedule.max_wait);
+                at += wait + latency;
+                answers.push(at);
+            }
+        }
+        answers.sort_unstable();
+        let longest = answers
+            .windows(2)
+            .map(|pair| pair[1].saturating_sub(pair[0]))
+            .max();
+        let expected = interval + latency * 2;
+        assert!(longest <= Some(expected), "{watching}: {longest:?}");
+        let calls = answers.len();
+        assert!(calls <= 30_000 / 700 + 4 * watching, "{watching}: {calls}");
+    }
+}
+
+#[test]
+fn surplus_watchers_wait_no_longer_than_others() {
+    let schedule = WatchSchedule {
+        interval: Duration::from_millis(700),
+        max_wait: Duration::from_millis(2800),
+        ahead: 13,
+        watching: 14,
+    };
+    assert_eq!(schedule.wait(Duration::ZERO), Duration::from_millis(2800));
+}
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -33,6 +33,9 @@
     pub store: SocketAddr,
     /// Time from SIGTERM until the process must have ended.
     pub grace: Duration,
+    /// Time within which what the store has acknowledged must be in force on all instances
+    /// that reach it or a peer.
+    pub propagation_limit: Duration,
     /// Retries allowed per request, over all instances.
     pub repeat_ratio: f64,
     /// Sliding window of the retry budget.
@@ -100,6 +103,7 @@
     pub store_watchers: usize,
     /// Maximum wait of a watch; each watch counts as a call. One that stays silent
     /// after an outage of the store must end within the time limit for configurations.
+    /// See [`crate::entry::fleet::watchers::watch_wait`].
     pub watch_timeout: Duration,
     /// Time for which changes are batched before the next watch; a fraction of the time
     /// limit for a configuration to come into force.
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -23,11 +23,12 @@
 use crate::dispatch::quarantine::{Quarantine, QuarantineSettings, QuarantineStatus};
 use crate::entry::fleet::caps::AccountCaps;
 use crate::entry::fleet::directory::{self, DirectoryEntry};
+use crate::entry::fleet::freshness::{Freshness, FreshnessLimits};
 use crate::entry::fleet::members::{InstanceStatus, Members};
 use crate::entry::fleet::message::TargetReport;
 use crate::entry::fleet::reach::Reach;
 use crate::entry::fleet::replica::Replica;
-use crate::entry::fleet::watchers::{StoreAccess, should_watch, watching};
+use crate::entry::fleet::watchers::{StoreAccess, WatchSchedule, should_watch, watching};
 use crate::entry::model::{CallerLimits, Route};
 use crate::entry::request::fingerprint::RequestFingerprints;
 use crate::entry::request::routes::{RouteTable, WeightedSplitter};
@@ -51,9 +52,6 @@
 /// Target crashes after which a request is blocked. By chance, a request may run beside
 /// another one that causes a crash twice, but hardly three times.
 const CRASHES_TO_BLOCK: u32 = 3;
-/// Time without any instance watching the store after which the store counts as
-/// unavailable.
-const OUTAGE_AFTER: Duration = Duration::from_millis(800);
 /// Time after a store outage in which a removed target is assumed to have an expired lease
 /// and to be alive; live ones register again within it.
 const OUTAGE_RECOVERY: Duration = LAPSED_RETENTION;
@@ -117,9 +115,12 @@
     pub started: Time,
     /// Whether all instances were started for the first time together with this one.
     first_start: bool,
-    watched_at: Time,
-    /// When the own watch or a live watching peer last had news of the store.
-    store_news_at: Option<Time>,
+    /// How recent the replica is known to be.
+    freshness: Freshness,
+    /// When the replica last changed.
+    changed_at: Time,
+    /// What the last heartbeat told of the store.
+    told_of_store: (StoreAccess, Option<Time>),
     recovering_until: Time,
 }
 
@@ -174,8 +175,9 @@
             registered: IndexMap::new(),
             rejected: IndexMap::new(),
             started: now,
-            watched_at: now,
-            store_news_at: None,
+            freshness: Freshness::new(now),
+            changed_at: now,
+            told_of_store: (StoreAccess::default(), None),
             recovering_until: Time::ZERO,
         }
     }
@@ -215,19 +217,42 @@
         watching(&self.members.watchers(now)) >= self.tuning.store_watchers
     }
 
-    /// Tracks the last news of the store, and its outages, so that targets whose leases
-    /// expired are distinguished from targets that left.
+    /// How long the next watch waits.
+    pub(crate) fn watch_wait(&self, now: Time) -> Duration {
+        let own = self.members.own_watcher(self.status.store);
+        let mut others = self.members.watchers(now);
+        others.retain(|other| other.access == StoreAccess::Watching);
+        let schedule = WatchSchedule {
+            interval: self.freshness_limits().answer_interval,
+            max_wait: self.tuning.watch_timeout,
+            ahead: others
+                .iter()
+                .filter(|other| other.weight > own.weight)
+                .count(),
+            watching: others.len() + 1,
+        };
+        schedule.wait(now.since(self.changed_at))
+    }
+
+    /// Records an answer of the store that brought the replica up to date.
+    pub(crate) fn record_store_answer(&mut self, now: Time) {
+        self.freshness.record_own(now);
+    }
+
+    fn freshness_limits(&self) -> FreshnessLimits {
+        FreshnessLimits::new(self.settings.propagation_limit)
+    }
+
+    /// Tracks the last answer of the store to any instance, and its outages, so that targets
+    /// whose leases expired are distinguished from targets that left.
     pub(crate) fn update_outage(&mut self, now: Time) {
-        let watched = self.watches() || self.members.is_store_watched(now);
-        if !watched && now.since(self.watched_at) > OUTAGE_AFTER {
-            self.recovering_until = now.after(OUTAGE_RECOVERY);
+        let answer = self.members.last_store_answer(self.status.position());
+        if let Some(at) = answer {
+            self.freshness.record(at);
         }
-        if watched {
-            self.watched_at = now;
+        if self.freshness.age(now) > self.freshness_limits().outage_after {
+            self.recovering_until = now.after(OUTAGE_RECOVERY);
         }
-        let own_news = self.watches().then_some(now);
-        let news = own_news.or(self.members.last_watcher_heartbeat());
-        self.store_news_at = self.store_news_at.max(news);
     }
 
     /// The service that gets the next request of a route, by the weights of its traffic
--- a/src/entry/state/accounts.rs
+++ b/src/entry/state/accounts.rs
@@ -59,7 +59,7 @@
             return true;
         };
         let is_recent = |at| now.since(at) < settings.revoke_time;
-        !settings.fail_closed || self.store_news_at.is_some_and(is_recent)
+        !settings.fail_closed || self.freshness.last_answer().is_some_and(is_recent)
     }
 }
 
--- a/src/entry/state/accounts/tests.rs
+++ b/src/entry/state/accounts/tests.rs
@@ -3,7 +3,6 @@
 use http::HeaderValue;
 
 use super::*;
-use crate::entry::fleet::watchers::StoreAccess;
 use crate::entry::settings::{AccountSettings, Tuning};
 use crate::entry::testing;
 
@@ -94,9 +93,7 @@
         let admitted =
             |state: &State, now, public| authenticate(state, now, public, &["Bearer k1"]);
         assert_eq!(admitted(&state, at(0), false), expected, "before any news");
-        state.status.store = StoreAccess::Watching;
-        state.update_outage(at(100));
-        state.status.store = StoreAccess::Lost;
+        state.record_store_answer(at(100));
         state.update_outage(at(3000));
         assert_eq!(admitted(&state, at(5099), false), "acme");
         assert_eq!(admitted(&state, at(5100), false), expected);
--- a/src/entry/state/changes.rs
+++ b/src/entry/state/changes.rs
@@ -8,6 +8,10 @@
 use crate::entry::target::targets::LAPSED_RETENTION;
 use crate::units::Time;
 
+/// Fraction of the propagation limit in which a removed target gets requests if its service
+/// has no other. The rest is for them to run before it ends.
+const SERVING_FRACTION: f64 = 0.75;
+
 impl State {
     /// Applies changes of the store; returns whether anything changed.
     pub(crate) fn apply(&mut self, now: Time, mut delta: Delta, source: &str) -> bool {
@@ -27,21 +31,32 @@
         }
         let is_first = self.replica.revision() == 0;
         let applied = self.replica.apply(delta);
+        if !applied.is_empty() {
+            self.changed_at = now;
+        }
         let after_outage = now < self.recovering_until;
-        let lapsed_services = self.targets.lapsed_services(&applied);
+        let emptied_services = self.targets.emptied_services(&applied);
         for change in &applied {
             let lapsed = match change {
-                Applied::Removed(_, Record::Target(target)) => {
-                    restored || after_outage || lapsed_services.contains(&target.service)
-                }
+                Applied::Removed(_, Record::Target(_)) => restored || after_outage,
                 Applied::Removed(
                     _,
                     Record::Evacuation(_) | Record::RolloutOrder(_) | Record::RolloutDecision(_),
                 ) => restored,
                 _ => false,
             };
-            log_change(change, self.replica.revision(), source, lapsed);
-            self.apply_change(now, change, lapsed);
+            let retained_until = match change {
+                Applied::Removed(_, Record::Target(_)) if lapsed => Some(self.lapsed_until(now)),
+                Applied::Removed(_, Record::Target(target))
+                    if emptied_services.contains(&target.service) =>
+                {
+                    self.serving_until()
+                }
+                _ => None,
+            };
+            let retained_ms = retained_until.map(|until| until.since(now).as_millis());
+            log_change(change, self.replica.revision(), source, lapsed, retained_ms);
+            self.apply_change(now, change, lapsed, retained_until);
         }
         if restored {
             self.reread_decisions();
@@ -77,6 +92,14 @@
         }
     }
 
+    /// Until when a removed target certainly serves what is sent to it: one that leaves goes
+    /// on for the propagation limit after its removal, which was after the last answer.
+    fn serving_until(&self) -> Option<Time> {
+        let limit = self.settings.propagation_limit;
+        let last_answer = self.freshness.last_answer()?;
+        Some(last_answer.after(limit.mul_f64(SERVING_FRACTION)))
+    }
+
     /// Turns the records of a copy that are older than what is known here into removals, so
     /// that they count only once they are written again.
     fn remove_outdated(&self, now: Time, delta: &mut Delta) {
@@ -91,7 +114,13 @@
         }
     }
 
-    fn apply_change(&mut self, now: Time, change: &Applied, lapsed: bool) {
+    fn apply_change(
+        &mut self,
+        now: Time,
+        change: &Applied,
+        lapsed: bool,
+        retained_until: Option<Time>,
+    ) {
         if let Applied::Put(key, _) | Applied::Removed(key, _) = change {
             self.rejected.swap_remove(key);
         }
@@ -119,7 +148,6 @@
             },
             Applied::Removed(key, record) => match record {
                 Record::Target(target) => {
-                    let retained_until = lapsed.then(|| self.lapsed_until(now));
                     self.targets.remove(now, &target.id, retained_until);
                 }
                 Record::Evacuation(zone) if lapsed => {
@@ -138,7 +166,13 @@
     }
 }
 
-fn log_change(change: &Applied, revision: u64, source: &str, lapsed: bool) {
+fn log_change(
+    change: &Applied,
+    revision: u64,
+    source: &str,
+    lapsed: bool,
+    retained_ms: Option<u128>,
+) {
     match change {
         Applied::Configuration(configuration) => tracing::info!(
             version = configuration.version,
@@ -159,7 +193,14 @@
             );
         }
         Applied::Removed(key, _) => {
-            tracing::info!(key = &**key, revision, source, lapsed, "record removed");
+            tracing::info!(
+                key = &**key,
+                revision,
+                source,
+                lapsed,
+                retained_ms,
+                "record removed"
+            );
         }
     }
 }
--- a/src/entry/state/heartbeats.rs
+++ b/src/entry/state/heartbeats.rs
@@ -7,7 +7,7 @@
 
 use super::State;
 use crate::dispatch::quarantine::{Audience, Evidence, PassOn};
-use crate::entry::fleet::members::PendingUpdates;
+use crate::entry::fleet::members::{InstanceStatus, PendingUpdates};
 use crate::entry::fleet::message::{
     Heartbeat, MAX_CASES, MAX_EVIDENCE, MAX_LEAVING, MAX_LIMITS, MAX_REPORTS, RelayedStatus,
     TargetReport,
@@ -55,11 +55,14 @@
             .retain(|target, _| self.reports.contains_key(target));
         self.sent_other_zones
             .retain(|target, _| self.reports.contains_key(target));
+        let known_of_store = (self.status.store, self.freshness.own_answer());
         let updates = PendingUpdates {
             same_zone: self.has_unsent_changes(&self.sent_same_zone),
             other_zones: self.has_unsent_changes(&self.sent_other_zones),
+            store: self.told_of_store != known_of_store,
             all,
         };
+        self.told_of_store = known_of_store;
         let zone = self.settings.zone.clone();
         let (same_zone, other_zones) = self.members.due_heartbeats(now, &zone, updates);
         self.heartbeats_sent += 1;
@@ -77,7 +80,7 @@
                 self.sent_other_zones.insert(target, own.report);
             }
             reports.push(TargetReport {
-                age_ms: u16::try_from(now.since(own.at).as_millis()).unwrap_or(u16::MAX),
+                age_ms: age_ms(now, own.at),
                 ..own.report
             });
         }
@@ -85,7 +88,10 @@
         let (cases, evidence) = self.quarantine.next_report(now, MAX_CASES, reaches_all);
         let heartbeat = Heartbeat {
             zone,
-            status: self.status.clone(),
+            status: InstanceStatus {
+                store_answer_age_ms: known_of_store.1.map(|at| age_ms(now, at)),
+                ..self.status.clone()
+            },
             reports,
             member: self.member_to_share(now),
             cases,
@@ -240,6 +246,11 @@
     }
 }
 
+/// Milliseconds since `at`, or the most that a heartbeat can tell.
+fn age_ms(now: Time, at: Time) -> u16 {
+    u16::try_from(now.since(at).as_millis()).unwrap_or(u16::MAX)
+}
+
 /// At most `max` items for a heartbeat: those whose turn it is by the number of heartbeats.
 fn in_turn<T: Clone>(items: Vec<T>, max: usize, heartbeats: usize) -> Vec<T> {
     let first = (heartbeats * max).checked_rem(items.len());
--- a/src/entry/target/targets.rs
+++ b/src/entry/target/targets.rs
@@ -26,10 +26,6 @@
 const EVACUATION_RETENTION: Duration = Duration::from_secs(5);
 /// Runs of targets that left which are remembered: those of some minutes.
 const MAX_DEPARTED: usize = 1024;
-/// Minimum number of targets of a service that are removed together by expired leases.
-/// A single target may just have left.
-const MIN_LAPSED: usize = 2;
-
 /// All targets, and the evacuated zones.
 #[derive(Debug, Clone, Default)]
 pub struct TargetTable {
@@ -91,31 +87,36 @@
         }
     }
 
-    /// The services of which at least half of the targets are removed at once. Targets
-    /// leave a few at a time, so these leases expired while the store was unavailable.
+    /// The services whose last registered targets the changes remove.
     #[must_use]
-    pub fn lapsed_services(&self, changes: &[Applied]) -> IndexSet<ServiceName> {
-        let mut removed: IndexMap<&ServiceName, usize> = IndexMap::new();
+    pub fn emptied_services(&self, changes: &[Applied]) -> IndexSet<ServiceName> {
+        let mut removed: IndexMap<&ServiceName, IndexSet<&TargetId>> = IndexMap::new();
         for change in changes {
             if let Applied::Removed(_, Record::Target(target)) = change {
-                *removed.entry(&target.service).or_default() += 1;
+                removed
+                    .entry(&target.service)
+                    .or_default()
+                    .insert(&target.id);
             }
         }
-        let present = |service: &ServiceName| {
-            let service_targets = self.views().filter(|view| view.target.service == *service);
-            service_targets
-                .filter(|view| view.removed_at.is_none())
-                .count()
-        };
-        removed
-            .into_iter()
-            .filter(|(service, count)| *count >= MIN_LAPSED && count * 2 >= present(service))
-            .map(|(service, _)| service.clone())
-            .collect()
+        removed.retain(|service, ids| {
+            let is_added = |change: &Applied| match change {
+                Applied::Put(_, Record::Target(target)) => {
+                    target.service == **service && !target.leaving
+                }
+                _ => false,
+            };
+            let stays = |view: &TargetState| {
+                view.target.service == **service
+                    && view.is_registered()
+                    && !ids.contains(&view.target.id)
+            };
+            !changes.iter().any(is_added) && !self.views().any(stays)
+        });
+        removed.into_keys().cloned().collect()
     }
 
-    /// Removes a target. One whose lease may have expired, and that may be alive, is used
-    /// until `retained_until`.
+    /// Removes a target. It is used until `retained_until` if it may still serve.
     pub fn remove(&mut self, now: Time, id: &TargetId, retained_until: Option<Time>) {
         if let Some(view) = self.views.get_mut(id) {
             view.removed_at = Some(retained_until.unwrap_or(now));
--- a/src/entry/target/targets/tests.rs
+++ b/src/entry/target/targets/tests.rs
@@ -289,9 +289,9 @@
 }
 
 #[test]
-fn removal_of_half_of_a_services_targets_counts_as_expired_leases() {
+fn a_service_is_emptied_by_the_removal_of_all_that_would_stay() {
     let mut table = TargetTable::default();
-    let targets: Vec<_> = (0..5).map(|number| target(&format!("t{number}"))).collect();
+    let targets: Vec<_> = (0..3).map(|number| target(&format!("t{number}"))).collect();
     for target in &targets {
         table.put(NOW, target.clone());
     }
@@ -301,9 +301,17 @@
             .map(|target| Applied::Removed("key".into(), Record::Target(target.clone())))
             .collect()
     };
-    assert!(table.lapsed_services(&removed(2)).is_empty());
-    assert_eq!(table.lapsed_services(&removed(3)).len(), 1);
-    let mut pair = TargetTable::default();
-    pair.put(NOW, target("t0"));
-    assert!(pair.lapsed_services(&removed(1)).is_empty());
+    assert!(table.emptied_services(&removed(2)).is_empty());
+    assert_eq!(table.emptied_services(&removed(3)).len(), 1);
+    let mut replaced = removed(3);
+    replaced.push(Applied::Put("t3".into(), Record::Target(target("t3"))));
+    assert!(table.emptied_services(&replaced).is_empty());
+    table.put(
+        NOW,
+        Target {
+            leaving: true,
+            ..target("t2")
+        },
+    );
+    assert_eq!(table.emptied_services(&removed(2)).len(), 1);
 }
--- a/src/entry/testing.rs
+++ b/src/entry/testing.rs
@@ -41,6 +41,7 @@
         first_start: true,
         store: ([10, 9, 9, 9], 1).into(),
         grace: Duration::from_secs(6),
+        propagation_limit: Duration::from_secs(2),
         repeat_ratio: 0.2,
         repeat_window: Duration::from_secs(10),
         repeat_slack: 50.0,
--- a/src/platform/prepared/settings.rs
+++ b/src/platform/prepared/settings.rs
@@ -121,6 +121,8 @@
 #[serde(default)]
 struct Bounds {
     grace_s: f64,
+    config_ms: f64,
+    drain_ms: f64,
     retry_budget_ratio: f64,
     budget_window_s: f64,
     budget_slack: f64,
@@ -142,6 +144,8 @@
     fn default() -> Self {
         Self {
             grace_s: 6.0,
+            config_ms: 2000.0,
+            drain_ms: 2000.0,
             retry_budget_ratio: 0.2,
             budget_window_s: 10.0,
             budget_slack: 0.0,
@@ -182,6 +186,10 @@
         "port_range: the first port must not be above the last",
     );
     require(bounds.grace_s > 0.0, "bounds.grace_s: must be above 0");
+    require(
+        bounds.config_ms > 0.0 && bounds.drain_ms > 0.0,
+        "bounds.config_ms, bounds.drain_ms: must be above 0",
+    );
     require(
         bounds.budget_window_s > 0.0,
         "bounds.budget_window_s: must be above 0",
@@ -245,6 +253,7 @@
         first_start: wire.bootstrap,
         store: wire.platform.address,
         grace: duration_from_secs(bounds.grace_s),
+        propagation_limit: duration_from_secs(bounds.config_ms.min(bounds.drain_ms) / 1000.0),
         repeat_ratio: bounds.retry_budget_ratio,
         repeat_window: duration_from_secs(bounds.budget_window_s),
         repeat_slack: bounds.budget_slack,
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -204,6 +204,23 @@
     }
 }
 
+/// Guards against targets that left being taken for expired leases, without an outage of the
+/// store: they got requests for longer than the limit.
+#[tokio::test]
+async fn half_of_a_services_targets_get_no_new_requests_once_they_left() {
+    let cluster = EntryCluster::start(1, 4).await;
+    // Both removals arrive in the batch after this change.
+    cluster.configure(9, &["/safe/", "/once/"]);
+    cluster.remove_target(0);
+    cluster.remove_target(1);
+    cluster.wait_for_log(0, "record removed", 2).await;
+    for number in 0..20 {
+        let resp = cluster.get(0, "/safe/x", &format!("r-{number}")).await;
+        let left = ["t0 ran", "t1 ran"].map(|text| resp.body.starts_with(text));
+        assert_eq!(left, [false, false], "{resp:?}");
+    }
+}
+
 #[tokio::test]
 async fn store_calls_per_change_do_not_grow_with_the_number_of_instances() {
     let cluster = EntryCluster::start(8, 1).await;
