Ask the store when no instance has had a recent answer of it

Callers saw: while the store gave no response to the four instances that watch it, the ten others, which it would have served, ran orders by an old configuration for up to 3.7 s after a new one was acknowledged; 2 s are allowed.

Cause: a watch that hangs is given up after 3.5 s (2.8 s of wait, 0.7 s more), until then its instance tells its peers that it watches, and they wait for it; then the news, the takeover and the spread follow. The time-out fitted the watch, the limit holds for the chain.

Now an instance that knows of no answer younger than 0.6 of the propagation limit asks the store, four instances at first, four more each 0.2 s, sixteen at most; hanging watches count as failed calls in the order. The times follow from the limits in the settings. The age of an answer doesn't depend on whether its instance counts as live, so a large membership that loses a zone with all watchers notices as early.

The stand-in store can listen once more, so that each instance has faults of its own.

--- a/src/entry/fleet/members/tests.rs
+++ b/src/entry/fleet/members/tests.rs
@@ -183,7 +183,7 @@
     assert_eq!(positions, (0..14).collect::<Vec<_>>());
     let continuing = views.iter().filter(|members| {
         let (own, others) = watchers(members);
-        should_watch(own, &others, 4, Duration::ZERO)
+        should_watch(own, &others, 4, Duration::ZERO, None)
     });
     assert_eq!(continuing.count(), 4);
 }
--- a/src/entry/fleet/sync.rs
+++ b/src/entry/fleet/sync.rs
@@ -241,6 +241,10 @@
         {
             let mut state = shared.state();
             if state.should_watch(now, waited) {
+                if !state.watches() && state.store_doubt(now).is_some() {
+                    let age_ms = state.store_answer_age(now).as_millis();
+                    tracing::info!(age_ms, "no recent answer of the store is known; asking it");
+                }
                 return;
             }
             if state.watches() {
--- a/src/entry/fleet/watchers.rs
+++ b/src/entry/fleet/watchers.rs
@@ -12,6 +12,9 @@
 /// Time for which too few instances must watch before another one starts: three
 /// heartbeats, so that a watcher that only renews its watch is not replaced.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(300);
+/// Time after which as many instances more ask the store while the copies are in doubt: the
+/// first ones have told all what they learned.
+const DOUBT_STEP: Duration = Duration::from_millis(200);
 /// Maximum number of instances with recently failed calls that are skipped. If that
 /// many fail, the store is unavailable: when it refuses a third of the instances, so
 /// many do not fail in a row.
@@ -42,14 +45,32 @@
 /// Whether `own` should start or continue to watch beside the live `others`, when
 /// `wanted` instances should and too few have for the time `lacking`. Instances whose
 /// last call failed are skipped so that the next ones in the order try.
+///
+/// If no instance has had an answer of the store for too long, which is given as the time since
+/// then in `doubt`, watches that may never be answered count as failed calls, and more instances
+/// try the longer it lasts.
 #[must_use]
-pub fn should_watch(own: Watcher, others: &[Watcher], wanted: usize, lacking: Duration) -> bool {
+pub fn should_watch(
+    own: Watcher,
+    others: &[Watcher],
+    wanted: usize,
+    lacking: Duration,
+    doubt: Option<Duration>,
+) -> bool {
     let ahead = |access| {
         others
             .iter()
             .filter(|other| other.access == access && other.weight > own.weight)
             .count()
     };
+    if let Some(doubt) = doubt {
+        let failed = ahead(StoreAccess::Lost) + ahead(StoreAccess::Watching);
+        let skipped = failed.min(MAX_SKIPPED_FAILURES);
+        let steps = usize::try_from(doubt.as_millis() / DOUBT_STEP.as_millis());
+        let more = steps.unwrap_or(usize::MAX).saturating_mul(wanted);
+        let allowed = wanted + more.min(MAX_SKIPPED_FAILURES - skipped);
+        return ahead(StoreAccess::Unused) + failed - skipped < allowed;
+    }
     if own.access == StoreAccess::Watching {
         return ahead(StoreAccess::Watching) < wanted;
     }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -206,10 +206,24 @@
 
     /// Whether this instance should watch the store, when too few instances have
     /// watched it for `waited`.
-    pub(crate) fn should_watch(&self, now: Time, waited: Duration) -> bool {
+    pub(crate) fn should_watch(&mut self, now: Time, waited: Duration) -> bool {
+        let doubt = self.store_doubt(now);
         let own = self.members.own_watcher(self.status.store);
         let others = self.members.watchers(now);
-        should_watch(own, &others, self.tuning.store_watchers, waited)
+        should_watch(own, &others, self.tuning.store_watchers, waited, doubt)
+    }
+
+    /// Time for which it has been in doubt whether any watch still reaches the store; `None` if
+    /// the store has answered an instance lately.
+    pub(crate) fn store_doubt(&mut self, now: Time) -> Option<Duration> {
+        self.record_answers_of_peers();
+        let doubt_after = self.freshness_limits().doubt_after;
+        self.store_answer_age(now).checked_sub(doubt_after)
+    }
+
+    /// Time since the store last answered any instance, as far as known.
+    pub(crate) fn store_answer_age(&self, now: Time) -> Duration {
+        self.freshness.age(now)
     }
 
     /// Whether enough other instances watch the store.
@@ -239,6 +253,13 @@
         self.freshness.record_own(now);
     }
 
+    fn record_answers_of_peers(&mut self) {
+        let answer = self.members.last_store_answer(self.status.position());
+        if let Some(at) = answer {
+            self.freshness.record(at);
+        }
+    }
+
     fn freshness_limits(&self) -> FreshnessLimits {
         FreshnessLimits::new(self.settings.propagation_limit)
     }
@@ -246,10 +267,7 @@
     /// Tracks the last answer of the store to any instance, and its outages, so that targets
     /// whose leases expired are distinguished from targets that left.
     pub(crate) fn update_outage(&mut self, now: Time) {
-        let answer = self.members.last_store_answer(self.status.position());
-        if let Some(at) = answer {
-            self.freshness.record(at);
-        }
+        self.record_answers_of_peers();
         if self.freshness.age(now) > self.freshness_limits().outage_after {
             self.recovering_until = now.after(OUTAGE_RECOVERY);
         }
--- a/standin/src/prepared/store.rs
+++ b/standin/src/prepared/store.rs
@@ -61,6 +61,22 @@
 #[derive(Debug, Clone)]
 pub struct StoreCopy(Data);
 
+/// Another address of a store, with faults of its own; it is closed when it is dropped.
+#[derive(Debug)]
+pub struct StoreEndpoint {
+    /// Faults of the calls that arrive here, beside those of the store.
+    pub faults: Shared<Faults>,
+    server: Server,
+}
+
+impl StoreEndpoint {
+    /// Address that the store listens on here.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+}
+
 /// A running store; it stops when it is dropped.
 #[derive(Debug)]
 pub struct StoreStandin {
@@ -84,12 +100,7 @@
     pub async fn start() -> std::io::Result<Self> {
         let faults = Shared::<Faults>::default();
         let state = Arc::new(StoreState::default());
-        let (shared_faults, shared_state) = (faults.clone(), state.clone());
-        let server = web::serve(move |req| {
-            let (faults, state) = (shared_faults.clone(), shared_state.clone());
-            async move { handle(&state, &faults, req).await }
-        })
-        .await?;
+        let server = serve(&state, &faults, &Shared::default()).await?;
         Ok(Self {
             faults,
             state,
@@ -97,6 +108,16 @@
         })
     }
 
+    /// Listens on another port, as for clients whose calls have faults of their own.
+    ///
+    /// # Errors
+    /// See [`Self::start`].
+    pub async fn listen_again(&self) -> std::io::Result<StoreEndpoint> {
+        let faults = Shared::<Faults>::default();
+        let server = serve(&self.state, &self.faults, &faults).await?;
+        Ok(StoreEndpoint { faults, server })
+    }
+
     /// Address that the store listens on.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -195,22 +216,53 @@
     }
 }
 
-async fn handle(
-    state: &StoreState,
+async fn serve(
+    state: &Arc<StoreState>,
     faults: &Shared<Faults>,
-    req: Request<Incoming>,
-) -> Option<Response<Body>> {
+    own_faults: &Shared<Faults>,
+) -> std::io::Result<Server> {
+    let (state, faults, own_faults) = (state.clone(), faults.clone(), own_faults.clone());
+    web::serve(move |req| {
+        let (state, faults, own_faults) = (state.clone(), faults.clone(), own_faults.clone());
+        async move {
+            let silenced = own_faults.get().silenced;
+            if let Some(outcome) = fail(&own_faults).await {
+                return outcome;
+            }
+            let resp = handle(&state, &faults, req).await;
+            if own_faults.get().silenced > silenced {
+                std::future::pending::<()>().await;
+            }
+            resp
+        }
+    })
+    .await
+}
+
+/// Outcome of a call that fails by the faults, after their delay; `None` if it is processed.
+async fn fail(faults: &Shared<Faults>) -> Option<Option<Response<Body>>> {
     let now = faults.get();
     tokio::time::sleep(now.delay).await;
     match now.mode {
-        Mode::Serving => {}
+        Mode::Serving => None,
         Mode::Refusing(status) => {
             let status = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
-            return Some(web::response(status, ""));
+            Some(Some(web::response(status, "")))
         }
-        Mode::Resetting => return None,
+        Mode::Resetting => Some(None),
         Mode::Silent => std::future::pending().await,
     }
+}
+
+async fn handle(
+    state: &StoreState,
+    faults: &Shared<Faults>,
+    req: Request<Incoming>,
+) -> Option<Response<Body>> {
+    let now = faults.get();
+    if let Some(outcome) = fail(faults).await {
+        return outcome;
+    }
     let method = req.method().clone();
     let path = req.uri().path().to_owned();
     let query = parse_query(req.uri().query().unwrap_or_default());
--- a/tests/entry_cluster/mod.rs
+++ b/tests/entry_cluster/mod.rs
@@ -16,7 +16,7 @@
 use standin::prepared::settings::{
     CALLER_PORT, DIRECTORY_PORT, READINESS_PORT, configuration, entry_settings,
 };
-use standin::prepared::store::StoreStandin;
+use standin::prepared::store::{Mode, StoreEndpoint, StoreStandin};
 use standin::prepared::target::{Behaviour, TargetStandin};
 use tokio::net::TcpStream;
 
@@ -38,6 +38,8 @@
 
 struct Instance {
     ip: IpAddr,
+    /// Address of the store for this instance alone.
+    store: StoreEndpoint,
     settings: PathBuf,
     child: Option<Child>,
     log: Arc<Mutex<String>>,
@@ -108,10 +110,12 @@
             let [_, _, high, low] = pid.to_be_bytes();
             let ip = IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, last_octet));
             let settings = cluster.settings_dir.path().join(format!("{number}.json"));
-            let text = entry_settings(number, ip, cluster.store.address());
+            let store = cluster.store.listen_again().await.unwrap();
+            let text = entry_settings(number, ip, store.address());
             std::fs::write(&settings, text).unwrap();
             cluster.instances.push(Instance {
                 ip,
+                store,
                 settings,
                 child: None,
                 log: Arc::default(),
@@ -175,6 +179,15 @@
         self.instances[number].child.take().unwrap().wait().unwrap()
     }
 
+    /// The store gives this instance no response any more, also to calls that wait for one.
+    pub fn silence_store_for(&self, number: usize) {
+        let faults = &self.instances[number].store.faults;
+        faults.change(|faults| {
+            faults.mode = Mode::Silent;
+            faults.silenced += 1;
+        });
+    }
+
     /// Writes a configuration with these route prefixes; requests below `/once/` must not be retried.
     pub fn configure(&self, version: u64, prefixes: &[&str]) {
         self.put_configuration(version, prefixes, 2000);
@@ -424,6 +437,18 @@
             .await;
     }
 
+    /// The instances that watch the store.
+    pub async fn watchers(&self) -> Vec<usize> {
+        let mut watchers = Vec::new();
+        for instance in 0..self.instances.len() {
+            let standing = self.dump_field(instance, "standing").await;
+            if standing["store"] == "watching" {
+                watchers.push(instance);
+            }
+        }
+        watchers
+    }
+
     /// Waits until this many instances watch the store.
     pub async fn wait_for_watchers(&self, count: usize) {
         let watching = || async {
--- a/tests/entry_silence/mod.rs
+++ b/tests/entry_silence/mod.rs
@@ -1,7 +1,13 @@
-//! Connections that stay silent for good while new ones work.
+//! Connections that stay silent for good while new ones work, and instances to which the store
+//! does not respond.
+
+use std::time::{Duration, Instant};
 
 use crate::entry_cluster::EntryCluster;
 
+/// Time from the store's acknowledgement until a configuration must be in force.
+const PROPAGATION_LIMIT: Duration = Duration::from_secs(2);
+
 #[tokio::test]
 async fn a_change_arrives_though_the_connections_of_all_watches_stay_silent() {
     let cluster = EntryCluster::start(2, 1).await;
@@ -19,3 +25,26 @@
         cluster.wait_for_log(instance, "record removed", 1).await;
     }
 }
+
+/// Guards against watches that hang while the store serves all other instances: these waited for
+/// the watchers' timeouts with an outdated configuration.
+#[tokio::test]
+async fn a_change_arrives_in_time_though_the_store_does_not_respond_to_the_watchers() {
+    let cluster = EntryCluster::start(6, 1).await;
+    cluster.wait_for_watchers(4).await;
+    let watchers = cluster.watchers().await;
+    for watcher in &watchers {
+        cluster.silence_store_for(*watcher);
+    }
+    cluster.configure(9, &["/safe/", "/once/"]);
+    let acknowledged = Instant::now();
+    for instance in 0..6 {
+        cluster.wait_for_version(instance, 9).await;
+    }
+    let took = acknowledged.elapsed();
+    if took > PROPAGATION_LIMIT {
+        cluster.print_logs();
+    }
+    println!("in force everywhere after {took:?}");
+    assert!(took <= PROPAGATION_LIMIT, "{took:?}");
+}
