Give up a watch of the store when no instance has had a recent answer

Callers saw: after the open connections to the store went silent, while new ones worked, orders were run by an old configuration until 3.7 s after the next one was acknowledged, longer than touch_ms and config_ms.

Cause: a watcher relied on its watch until its own time-out, 3.5 s, or until a peer had newer changes. Each change starts all watches at the same time, so when all connections go silent they hang alike and no peer has news.

--- a/src/entry/fleet/sync.rs
+++ b/src/entry/fleet/sync.rs
@@ -190,6 +190,10 @@
             store_client.disconnect();
             return Err(StoreError::OutcomeUnknown("peers have newer changes than this watch".into()));
         }
+        () = store_in_doubt(shared, &progress) => {
+            store_client.disconnect();
+            return Err(StoreError::OutcomeUnknown("no instance has had a recent answer of the store".into()));
+        }
     };
     let has_changes = !change_set.changes.is_empty();
     apply(shared, change_set, false);
@@ -223,7 +227,11 @@
     while shared.state().replica.content_position() <= start {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    let mut since = Instant::now();
+    response_stalled(Instant::now(), progress).await;
+}
+
+/// Returns once nothing of a response has arrived for [`STALL_TIMEOUT`] after `since`.
+async fn response_stalled(mut since: Instant, progress: &ResponseProgress) {
     loop {
         tokio::time::sleep_until(since + STALL_TIMEOUT).await;
         match progress.received().last {
@@ -233,6 +241,21 @@
     }
 }
 
+/// Returns once a watch that started with an answer of the store may wait in vain, like those of
+/// all other instances: its connection may be silent while a new one works. A response that is
+/// arriving is waited for.
+async fn store_in_doubt(shared: &Shared, progress: &ResponseProgress) {
+    if !shared.state().watches() {
+        return std::future::pending().await;
+    }
+    while shared.state().store_doubt(shared.now()).is_none() {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    if let Some(last) = progress.received().last {
+        response_stalled(last, progress).await;
+    }
+}
+
 /// Returns once this instance should start or continue to watch.
 async fn wait_until_needed(shared: &Shared) {
     let mut waited = Duration::ZERO;
--- a/tests/entry_cluster/mod.rs
+++ b/tests/entry_cluster/mod.rs
@@ -188,6 +188,12 @@
         });
     }
 
+    /// The store's open connections with this instance go silent; new ones work.
+    pub fn silence_connections_for(&self, number: usize) {
+        let faults = &self.instances[number].store.faults;
+        faults.change(|faults| faults.silenced += 1);
+    }
+
     /// Writes a configuration with these route prefixes; requests below `/once/` must not be retried.
     pub fn configure(&self, version: u64, prefixes: &[&str]) {
         self.put_configuration(version, prefixes, 2000);
