Count the memory of responses until their callers have received them

Callers would see: an instance whose targets send large responses to callers that don't read runs out of memory, and the requests of all others end with it.

Cause: `ResponseMemory` counted a body only while it was read. It was then kept until the caller had received it, up to 15 s, and copied once more into the encoded response, without any limit on the sum.

Now a body holds its share, by the size of its buffer, until the last reference to it is dropped, and a large one is sent without a copy. As more is counted, responses get a quarter of the memory, an eighth before; beyond it, as before, a response is lost after its first 64 KiB, and short ones are passed on.

--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -53,6 +53,9 @@
     /// Bytes that may be held for the bodies of all requests, beyond the first 16 KiB of
     /// each.
     pub body_memory: usize,
+    /// Bytes that may be held for the bodies of all responses, beyond the first 64 KiB of
+    /// each.
+    pub response_memory: usize,
     /// Limits of roll-outs; `None` where there are none.
     pub rollouts: Option<RolloutLimits>,
     /// Limits of client accounts; `None` where there are none.
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -36,16 +36,16 @@
     pub metrics: EntryMetrics,
     /// Memory for the bodies of requests.
     pub body_memory: Arc<BodyMemory>,
-    /// Memory for the responses of targets that are being read.
-    pub response_memory: ResponseMemory,
+    /// Memory for the responses of targets until callers have received them.
+    pub response_memory: Arc<ResponseMemory>,
 }
 
 impl Shared {
     pub(crate) fn new(state: State, clock: Clock, metrics: EntryMetrics) -> Self {
         let body_memory = BodyMemory::new(MAX_HELD_BODY_BYTES, state.settings.body_memory);
-        let response_memory = ResponseMemory::new(state.settings.body_memory);
+        let response_memory = ResponseMemory::new(state.settings.response_memory);
         Self {
-            response_memory,
+            response_memory: Arc::new(response_memory),
             body_memory: Arc::new(body_memory),
             state: Mutex::new(state),
             clock,
--- a/src/entry/testing.rs
+++ b/src/entry/testing.rs
@@ -50,6 +50,7 @@
         max_directory_ttl: Duration::from_secs(5),
         max_probe_rate: 60.0,
         body_memory: 16 << 20,
+        response_memory: 32 << 20,
         rollouts: None,
         accounts: None,
     }
--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -1,5 +1,6 @@
 //! Framing of message bodies, their incremental decoding, and reading whole bodies.
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
@@ -260,7 +261,8 @@
     usize::from_str_radix(text, 16).map_err(|_| INVALID)
 }
 
-/// Memory for the responses that are being read, over all connections.
+/// Memory for the bodies of responses, over all connections, from their first byte until the
+/// client has received them: a client may read slowly, or not at all.
 #[derive(Debug)]
 pub(crate) struct ResponseMemory {
     max: usize,
@@ -279,15 +281,16 @@
 }
 
 /// What one response holds of a [`ResponseMemory`].
-struct HeldMemory<'a> {
-    memory: Option<&'a ResponseMemory>,
+#[derive(Debug)]
+struct HeldMemory {
+    memory: Option<Arc<ResponseMemory>>,
     held: usize,
 }
 
-impl HeldMemory<'_> {
-    /// Accounts for a body of `bytes` so far.
+impl HeldMemory {
+    /// Accounts for a buffer of `bytes` for the body so far.
     fn grow_to(&mut self, bytes: usize) -> Result<(), BodyError> {
-        let Some(memory) = self.memory else {
+        let Some(memory) = &self.memory else {
             return Ok(());
         };
         let more = bytes.saturating_sub(FREE_BYTES).saturating_sub(self.held);
@@ -300,14 +303,36 @@
     }
 }
 
-impl Drop for HeldMemory<'_> {
+impl Drop for HeldMemory {
     fn drop(&mut self) {
-        if let Some(memory) = self.memory {
+        if let Some(memory) = &self.memory {
             memory.held.fetch_sub(self.held, Ordering::Relaxed);
         }
     }
 }
 
+/// A body that holds its memory until it is dropped.
+struct HeldBody {
+    bytes: Bytes,
+    _held: HeldMemory,
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl HeldMemory {
+    /// Keeps the memory for as long as any reference to the body is left.
+    fn attach_to(self, bytes: Bytes) -> Bytes {
+        if self.held == 0 {
+            return bytes;
+        }
+        Bytes::from_owner(HeldBody { bytes, _held: self })
+    }
+}
+
 /// Reads a whole body; bytes that follow it stay in `buf`.
 ///
 /// # Errors
@@ -318,31 +343,37 @@
     buf: &mut BytesMut,
     framing: Framing,
     max: usize,
-    memory: Option<&ResponseMemory>,
+    memory: Option<&Arc<ResponseMemory>>,
 ) -> Result<Bytes, BodyError> {
-    let mut held = HeldMemory { memory, held: 0 };
+    let mut held = HeldMemory {
+        memory: memory.cloned(),
+        held: 0,
+    };
     if let Framing::Length(length) = framing
         && length <= max
     {
         // Without copying the body.
         while buf.len() < length {
             fill(rx, buf, (length - buf.len()).min(MAX_READ_BYTES)).await?;
-            held.grow_to(buf.len())?;
+            held.grow_to(buf.capacity())?;
         }
-        return Ok(buf.split_to(length).freeze());
+        let body = buf.split_to(length);
+        return Ok(held.attach_to(body.freeze()));
     }
     let mut decoder = BodyDecoder::new(framing, max)?;
     let mut body = BytesMut::new();
     loop {
         match decoder.decode(buf, usize::MAX)? {
             Decoded::Data(data) => {
-                held.grow_to(body.len() + data.len())?;
                 body.extend_from_slice(&data);
+                held.grow_to(body.capacity())?;
             }
-            Decoded::End => return Ok(body.freeze()),
+            Decoded::End => return Ok(held.attach_to(body.freeze())),
             Decoded::Incomplete => match fill(rx, buf, READ_BYTES).await {
                 Ok(()) => {}
-                Err(End::Closed) if framing == Framing::UntilClose => return Ok(body.freeze()),
+                Err(End::Closed) if framing == Framing::UntilClose => {
+                    return Ok(held.attach_to(body.freeze()));
+                }
                 Err(end) => return Err(end.into()),
             },
         }
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -5,7 +5,7 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -58,7 +58,7 @@
     /// Largest response body that is accepted, in bytes.
     pub max_response_bytes: usize,
     /// Memory for this and other responses; `None` if it is not limited.
-    pub memory: Option<&'a ResponseMemory>,
+    pub memory: Option<&'a Arc<ResponseMemory>>,
 }
 
 /// Body of an [`OutgoingRequest`].
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -12,7 +12,7 @@
 
 use super::READ_BYTES;
 use super::body::Framing;
-use super::head::{Head, parse_request};
+use super::head::{EncodedReply, Head, parse_request};
 use super::incoming::{BODY_READ_BYTES, Discarded, IncomingBody};
 use super::rejection::{RejectReason, Rejection};
 use super::server::{CurrentLimits, MayRunAhead, RequestLimits, ShutdownPhase};
@@ -270,6 +270,17 @@
         )
     }
 
+    pub(super) async fn send_reply(&mut self, reply: &EncodedReply) -> bool {
+        let sending = async {
+            self.stream.write_all(&reply.first).await?;
+            self.stream.write_all(&reply.rest).await
+        };
+        matches!(
+            tokio::time::timeout(WRITE_TIMEOUT, sending).await,
+            Ok(Ok(()))
+        )
+    }
+
     /// Closes the connection without a reset that could destroy the last response.
     pub(super) async fn close(&mut self) {
         if self.stream.shutdown().await.is_err() {
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -1,6 +1,6 @@
 //! Heads of requests as they are received, and responses as they are sent.
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue};
 
 use super::body::{Framing, declared_framing};
@@ -10,6 +10,8 @@
 
 /// Maximum number of headers in a request; a header map holds some more.
 const MAX_REQUEST_HEADERS: usize = 16 << 10;
+/// Largest body that is sent with the head in one write, in bytes.
+const MAX_COPIED_BODY_BYTES: usize = 16 << 10;
 /// Shortest line with a header, in bytes.
 const MIN_HEADER_BYTES: usize = 3;
 
@@ -128,10 +130,20 @@
     (!host.is_empty()).then_some((host, origin_form))
 }
 
+/// An encoded response.
+pub(super) struct EncodedReply {
+    /// Its head, and a small body.
+    pub(super) first: BytesMut,
+    /// The body if it is large: it is not copied.
+    pub(super) rest: Bytes,
+}
+
 /// Encodes a response. One to a HEAD request has no body, and declares the length that
 /// the headers of `reply` declare, if any.
-pub(super) fn encode(reply: &Reply, persistence: Persistence, is_head: bool) -> BytesMut {
-    let mut buf = BytesMut::with_capacity(256 + reply.body.len());
+pub(super) fn encode(reply: &Reply, persistence: Persistence, is_head: bool) -> EncodedReply {
+    let is_copied = reply.body.len() <= MAX_COPIED_BODY_BYTES;
+    let copied = if is_copied { reply.body.len() } else { 0 };
+    let mut buf = BytesMut::with_capacity(256 + copied);
     let reason = http::StatusCode::from_u16(reply.status)
         .ok()
         .and_then(|status| status.canonical_reason())
@@ -153,8 +165,11 @@
         Persistence::Close => buf.extend_from_slice(b"connection: close\r\n"),
     }
     buf.extend_from_slice(b"\r\n");
-    if !is_head {
+    let mut rest = Bytes::new();
+    if !is_head && is_copied {
         buf.extend_from_slice(&reply.body);
+    } else if !is_head {
+        rest = reply.body.clone();
     }
-    buf
+    EncodedReply { first: buf, rest }
 }
--- a/src/http1/server.rs
+++ b/src/http1/server.rs
@@ -121,7 +121,8 @@
                 }
                 Next::Reject(rejection) => {
                     let reply = (context.rejected)(&rejection);
-                    if conn.send(&encode(&reply, Persistence::Close, false)).await {
+                    let encoded = encode(&reply, Persistence::Close, false);
+                    if conn.send_reply(&encoded).await {
                         conn.close().await;
                     }
                     return;
@@ -140,12 +141,13 @@
         } else {
             Persistence::Close
         };
-        if !conn
-            .send(&encode(&reply, persistence, exchange.is_head))
-            .await
-        {
+        let encoded = encode(&reply, persistence, exchange.is_head);
+        // A large body is held until it is sent.
+        drop(reply);
+        if !conn.send_reply(&encoded).await {
             return;
         }
+        drop(encoded);
         if !conn.discard_rest(&mut exchange.incoming).await || persistence == Persistence::Close {
             conn.close().await;
             return;
--- a/src/http1/tests/endless.rs
+++ b/src/http1/tests/endless.rs
@@ -67,7 +67,7 @@
 
 #[tokio::test]
 async fn responses_without_end_share_one_memory_and_short_ones_are_still_read() {
-    let memory = ResponseMemory::new(1 << 20);
+    let memory = Arc::new(ResponseMemory::new(1 << 20));
     let exchange = |address: SocketAddr| {
         let memory = &memory;
         async move {
@@ -98,3 +98,50 @@
     let short = fixed_peer(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody", false).await;
     assert_eq!(exchange(short).await.unwrap().body, "body");
 }
+
+/// Memory counts until the last reference to a body is gone, not only while it is read.
+#[tokio::test]
+async fn a_body_holds_its_memory_until_it_is_dropped() {
+    const LENGTH: usize = 300 << 10;
+    let memory = Arc::new(ResponseMemory::new(800 << 10));
+    for head in [
+        format!("content-length: {LENGTH}\r\n\r\n"),
+        "\r\n".to_owned(),
+        format!("transfer-encoding: chunked\r\n\r\n{LENGTH:x}\r\n"),
+    ] {
+        let end = if head.contains("chunked") {
+            "\r\n0\r\n\r\n"
+        } else {
+            ""
+        };
+        let head = format!("HTTP/1.1 200 OK\r\n{head}");
+        let response = [head.as_bytes(), &vec![b'x'; LENGTH], end.as_bytes()].concat();
+        let response: &'static [u8] = response.leak();
+        let read = || async {
+            let address = fixed_peer(response, true).await;
+            let mut conn = Conn::connect(address, TIMEOUT).await.unwrap();
+            let outgoing = OutgoingRequest {
+                bytes: GET,
+                body: None,
+                is_head: false,
+                max_response_bytes: 1 << 20,
+                memory: Some(&memory),
+            };
+            conn.exchange(&outgoing, |_| true).await
+        };
+        let first = read().await.unwrap();
+        let copy = first.body.clone();
+        drop(first);
+        let mut others = Vec::new();
+        let err = loop {
+            match read().await {
+                Ok(resp) => others.push(resp),
+                Err(err) => break err,
+            }
+        };
+        assert!(err.to_string().contains("memory"), "{head:?}: {err}");
+        assert!(others.len() <= 2, "{head:?}: {}", others.len());
+        drop((copy, others));
+        assert_eq!(read().await.unwrap().body.len(), LENGTH, "{head:?}");
+    }
+}
--- a/src/platform/prepared/settings.rs
+++ b/src/platform/prepared/settings.rs
@@ -14,9 +14,11 @@
 /// Environment variable with the path of the settings file.
 const PATH_VARIABLE: &str = "WAGTAILSADDLE_SETTINGS";
 const BYTES_PER_MEGABYTE: f64 = 1e6;
-/// Fraction of the instance's memory for the bodies of requests. Responses, connections
-/// and the view of the targets need the rest.
+/// Fraction of the instance's memory for the bodies of requests.
 const BODY_MEMORY_FRACTION: f64 = 0.125;
+/// The same for those of responses. Connections, the first bytes of each body and the view of
+/// the targets need the rest.
+const RESPONSE_MEMORY_FRACTION: f64 = 0.25;
 /// Name of the part of the platform's rules that concerns client accounts.
 const ACCOUNTS_CONTRACT: &str = "tenants";
 /// Window of accounts' limits if the settings name none, in seconds.
@@ -261,7 +263,8 @@
         cold_slack: bounds.cold_slack,
         max_directory_ttl: duration_from_secs(bounds.ttl_max_s),
         max_probe_rate: bounds.probes_per_s,
-        body_memory: body_memory(wire.limits.memory_mb),
+        body_memory: part_of_memory(wire.limits.memory_mb, BODY_MEMORY_FRACTION),
+        response_memory: part_of_memory(wire.limits.memory_mb, RESPONSE_MEMORY_FRACTION),
         rollouts: bounds.expose_share.map(|share| RolloutLimits {
             share,
             slack: bounds.expose_slack,
@@ -277,14 +280,14 @@
     }
 }
 
-/// Bytes for the bodies of requests, of the instance's memory in megabytes.
+/// Bytes that are a fraction of the instance's memory in megabytes.
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
     reason = "checked to be positive; conversion saturates"
 )]
-fn body_memory(memory_mb: f64) -> usize {
-    (memory_mb * BYTES_PER_MEGABYTE * BODY_MEMORY_FRACTION) as usize
+fn part_of_memory(memory_mb: f64, fraction: f64) -> usize {
+    (memory_mb * BYTES_PER_MEGABYTE * fraction) as usize
 }
 
 fn duration_from_secs(value: f64) -> Duration {
--- a/standin/src/prepared/target.rs
+++ b/standin/src/prepared/target.rs
@@ -67,6 +67,8 @@
     pub version: &'static str,
     /// Start of the paths of the requests that fail; `None` if none do.
     pub failing_route: Option<&'static str>,
+    /// Length of the body of responses to paths that contain `large`, in bytes.
+    pub large_bytes: usize,
     /// Pause before each part of a response's body, which is then sent in chunks; zero for a
     /// body with a length.
     pub chunk_pause: Duration,
@@ -201,6 +203,7 @@
             names_leaving: false,
             version: "v1",
             failing_route: None,
+            large_bytes: 0,
             chunk_pause: Duration::ZERO,
             pause: None,
         }
@@ -325,7 +328,10 @@
         ("x-server-load", &load),
         ("x-body-checksum", &sum),
     ];
-    let text = format!("{} ran {method} {path} with {}", cx.id, body.len());
+    let mut text = format!("{} ran {method} {path} with {}", cx.id, body.len());
+    if path.contains("large") {
+        text = text.repeat(state.large_bytes.div_ceil(text.len()));
+    }
     if state
         .failing_route
         .is_some_and(|route| path.starts_with(route))
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -7,6 +7,7 @@
 mod entry_crashes;
 mod entry_leaving;
 mod entry_limits;
+mod entry_memory;
 mod entry_odd_entries;
 mod entry_pipelining;
 mod entry_restore;
--- a/tests/entry_cluster/mod.rs
+++ b/tests/entry_cluster/mod.rs
@@ -248,6 +248,22 @@
         }
     }
 
+    pub fn set_large_bytes(&self, large_bytes: usize) {
+        for target in &self.targets {
+            target.state.change(|state| state.large_bytes = large_bytes);
+        }
+    }
+
+    /// Most memory that the process of an instance has had in use, in bytes.
+    pub fn peak_memory(&self, number: usize) -> usize {
+        let child = self.instances[number].child.as_ref().unwrap();
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap();
+        let mut lines = status.lines();
+        let line = lines.find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        let kilobytes: usize = line.trim().trim_end_matches(" kB").parse().unwrap();
+        kilobytes << 10
+    }
+
     /// How often all targets together ran a request.
     pub fn runs(&self, id: &str) -> u32 {
         self.targets
