Give up the buffer of a large body that a connection has read

Callers would see: more memory in use than the limit on responses allows, up to 8 MB for each idle connection, for some seconds.

Cause: the buffer of a body of known length stayed referred to by the buffer of its connection, which was empty and kept for later reads.

Now the connection takes a new buffer after a body beyond the part that isn't counted, so that the memory is free once the body is dropped.

--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -358,6 +358,10 @@
             held.grow_to(buf.capacity())?;
         }
         let body = buf.split_to(length);
+        if length > FREE_BYTES {
+            // An idle connection would keep the whole buffer.
+            *buf = BytesMut::from(&buf[..]);
+        }
         return Ok(held.attach_to(body.freeze()));
     }
     let mut decoder = BodyDecoder::new(framing, max)?;
--- a/src/http1/tests/endless.rs
+++ b/src/http1/tests/endless.rs
@@ -99,6 +99,30 @@
     assert_eq!(exchange(short).await.unwrap().body, "body");
 }
 
+/// Guards against idle connections that keep the buffers of the large bodies that came over them.
+#[tokio::test]
+async fn a_connection_keeps_no_large_body_that_it_has_read() {
+    const LENGTH: usize = 1 << 20;
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {LENGTH}\r\n\r\n");
+    let response = [head.as_bytes(), &vec![b'x'; LENGTH]].concat().leak();
+    let address = fixed_peer(response, false).await;
+    let mut conn = Conn::connect(address, TIMEOUT).await.unwrap();
+    let outgoing = OutgoingRequest {
+        bytes: GET,
+        body: None,
+        is_head: false,
+        max_response_bytes: 2 * LENGTH,
+        memory: None,
+    };
+    let resp = conn.exchange(&outgoing, |_| true).await.unwrap();
+    assert!(conn.is_reusable());
+    assert_eq!(resp.body.len(), LENGTH);
+    assert!(
+        resp.body.is_unique(),
+        "the connection refers to the body's buffer"
+    );
+}
+
 /// Memory counts until the last reference to a body is gone, not only while it is read.
 #[tokio::test]
 async fn a_body_holds_its_memory_until_it_is_dropped() {
