Forget requests that no window of the retry budget counts

Cause: the times of requests were only dropped when a retry was asked for. Now each request drops those that lie in no window any more.

Evidence: `window::tests::requests_outside_of_every_window_are_forgotten` fails without that line: 100,000 times are kept after as many seconds, 21 with it.

--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -288,7 +288,7 @@
         self.budgets
             .entry(service.clone())
             .or_default()
-            .record_request(now);
+            .record_request(now, self.settings.repeat_window);
     }
 
     /// Takes one retry from the budget of a service; false when none is left.
--- a/src/entry/window.rs
+++ b/src/entry/window.rs
@@ -88,11 +88,19 @@
 const CELLS: u32 = 20;
 
 impl RetryBudget {
-    /// Records a caller's request.
-    pub fn record_request(&mut self, now: Time) {
+    /// Records a caller's request, and forgets those that are in no `window` that counts.
+    pub fn record_request(&mut self, now: Time, window: Duration) {
+        self.forget_requests(now, window);
         self.requests.push_back(now);
     }
 
+    fn forget_requests(&mut self, now: Time, window: Duration) {
+        let oldest = now.before(window * 2);
+        while self.requests.front().is_some_and(|first| *first < oldest) {
+            self.requests.pop_front();
+        }
+    }
+
     /// Takes one retry if the budget allows it.
     pub fn try_take(&mut self, now: Time, rule: RetryBudgetRule) -> bool {
         let remaining = self.remaining(now, rule) >= 1.0;
@@ -105,10 +113,7 @@
     /// Number of retries that the budget allows now.
     #[expect(clippy::cast_precision_loss, reason = "counts of a few seconds")]
     pub fn remaining(&mut self, now: Time, rule: RetryBudgetRule) -> f64 {
-        let oldest = now.before(rule.window * 2);
-        while self.requests.front().is_some_and(|first| *first < oldest) {
-            self.requests.pop_front();
-        }
+        self.forget_requests(now, rule.window);
         let requests = self.min_counted_requests(now, rule.window) as f64;
         let retries = self.retries.count(now, rule.window) as f64;
         rule.ratio * requests + rule.slack - retries
--- a/src/entry/window/tests.rs
+++ b/src/entry/window/tests.rs
@@ -2,10 +2,12 @@
 
 use super::*;
 
+const WINDOW: Duration = Duration::from_secs(10);
+
 fn rule(slack: f64) -> RetryBudgetRule {
     RetryBudgetRule {
         ratio: 0.2,
-        window: Duration::from_secs(10),
+        window: WINDOW,
         slack,
     }
 }
@@ -48,7 +50,7 @@
                 30
             }));
             if u.ratio(1, 2)? {
-                budget.record_request(now);
+                budget.record_request(now, WINDOW);
                 requests.push(now);
             } else if budget.try_take(now, rule(1.5)) {
                 retries.push(now);
@@ -78,7 +80,7 @@
         if own == stopped {
             own = (own + 1) % 8;
         }
-        budgets[own].record_request(now);
+        budgets[own].record_request(now, WINDOW);
         requests.push(now);
         let is_first = started[own] == Time::ZERO;
         let age = now.since(started[own]);
@@ -134,7 +136,7 @@
     let mut retries = 0;
     for tick in 0..3_000_u64 {
         let now = Time::from_millis(tick * 10);
-        budget.record_request(now);
+        budget.record_request(now, WINDOW);
         retries += u32::from(budget.try_take(now, rule(0.0)));
     }
     assert!(f64::from(retries) > 0.2 * 0.9 * 2_000.0, "{retries}");
@@ -176,3 +178,13 @@
         1
     );
 }
+
+/// Guards against a service without retries, whose requests were kept for ever.
+#[test]
+fn requests_outside_of_every_window_are_forgotten() {
+    let mut budget = RetryBudget::default();
+    for second in 0..100_000 {
+        budget.record_request(Time::from_secs(second), WINDOW);
+    }
+    assert!(budget.requests.len() <= 21, "{}", budget.requests.len());
+}
