Take no lag behind peers for an outage of the store

Cause: the store's outage was judged by the last answer whose content the instance has. That is right for "is my copy recent", not for "did the store answer anyone".

Now both times are kept: doubt follows from the first, an outage from the second.

--- a/src/entry/fleet/freshness.rs
+++ b/src/entry/fleet/freshness.rs
@@ -46,7 +46,10 @@
 pub struct Freshness {
     started: Time,
     own: Option<Time>,
+    /// The last one whose content the copy has.
     last: Option<Time>,
+    /// The last one to any instance.
+    any: Option<Time>,
 }
 
 impl Freshness {
@@ -57,6 +60,7 @@
             started: now,
             own: None,
             last: None,
+            any: None,
         }
     }
 
@@ -69,6 +73,12 @@
     /// Records an answer to any instance whose content the copy has.
     pub fn record(&mut self, at: Time) {
         self.last = self.last.max(Some(at));
+        self.record_elsewhere(at);
+    }
+
+    /// Records an answer to another instance whose content the copy may lack.
+    pub fn record_elsewhere(&mut self, at: Time) {
+        self.any = self.any.max(Some(at));
     }
 
     /// When the store last answered this instance.
@@ -84,9 +94,15 @@
         self.last
     }
 
-    /// Time since the last answer, or since the start.
+    /// Time since the last answer whose content the copy has, or since the start.
     #[must_use]
     pub fn age(&self, now: Time) -> Duration {
         now.since(self.last.unwrap_or(self.started))
     }
+
+    /// Time since the store last answered at all, or since the start.
+    #[must_use]
+    pub fn silence(&self, now: Time) -> Duration {
+        now.since(self.any.unwrap_or(self.started))
+    }
 }
--- a/src/entry/fleet/members.rs
+++ b/src/entry/fleet/members.rs
@@ -119,6 +119,15 @@
     }
 }
 
+/// When the store last answered other instances; `None` before the first answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct StoreAnswers {
+    /// Any of them.
+    pub any: Option<Time>,
+    /// One that has no newer changes than this instance.
+    pub reached: Option<Time>,
+}
+
 /// Whether the next heartbeat contains significant changes, by receiver.
 #[expect(
     clippy::struct_excessive_bools,
@@ -389,15 +398,18 @@
         })
     }
 
-    /// When the store last answered an instance whose newest change is not after `position`;
-    /// `None` before the first answer.
+    /// When the store last answered the other instances, seen from one whose newest change is at
+    /// `position`.
     #[must_use]
-    pub fn last_store_answer(&self, position: Position) -> Option<Time> {
-        let reached = self
-            .by_address
-            .values()
-            .filter(|member| member.status.position() <= position);
-        reached.filter_map(|member| member.store_answer).max()
+    pub fn store_answers(&self, position: Position) -> StoreAnswers {
+        let mut answers = StoreAnswers::default();
+        for member in self.by_address.values() {
+            answers.any = answers.any.max(member.store_answer);
+            if member.status.position() <= position {
+                answers.reached = answers.reached.max(member.store_answer);
+            }
+        }
+        answers
     }
 
     /// Whether so many instances are known that heartbeats are sent less often.
--- a/src/entry/fleet/members/tests.rs
+++ b/src/entry/fleet/members/tests.rs
@@ -392,13 +392,14 @@
     let position = |revision| Position { era: 0, revision };
     let mut members = Members::new(address(0), SILENCE_TIMEOUT, Duration::from_secs(60));
     let now = Time::from_secs(10);
-    assert_eq!(members.last_store_answer(position(9)), None);
+    assert_eq!(members.store_answers(position(9)).reached, None);
     members.record_heartbeat(now, address(1), &told(5, Some(700)));
     members.record_heartbeat(now, address(2), &told(6, Some(100)));
     let ago = |millis| Some(now.before(Duration::from_millis(millis)));
-    assert_eq!(members.last_store_answer(position(4)), None);
-    assert_eq!(members.last_store_answer(position(5)), ago(700));
-    assert_eq!(members.last_store_answer(position(6)), ago(100));
+    assert_eq!(members.store_answers(position(4)).reached, None);
+    assert_eq!(members.store_answers(position(5)).reached, ago(700));
+    assert_eq!(members.store_answers(position(6)).reached, ago(100));
+    assert_eq!(members.store_answers(position(4)).any, ago(100));
     let relayed = RelayedStatus {
         address: address(3),
         zone: "b".into(),
@@ -406,11 +407,11 @@
         age_ms: 150,
     };
     members.record_relayed(now, &relayed);
-    assert_eq!(members.last_store_answer(position(5)), ago(350));
+    assert_eq!(members.store_answers(position(5)).reached, ago(350));
     // One that is stopped is heard no more, and its answer does not become younger.
     let later = now.after(Duration::from_secs(60));
     members.record_heartbeat(later, address(1), &told(5, Some(60_700)));
-    assert_eq!(members.last_store_answer(position(5)), ago(350));
+    assert_eq!(members.store_answers(position(5)).reached, ago(350));
 }
 
 /// What an instance knows of the store reaches the others before its next regular heartbeat.
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -254,10 +254,13 @@
     }
 
     fn record_answers_of_peers(&mut self) {
-        let answer = self.members.last_store_answer(self.status.position());
-        if let Some(at) = answer {
+        let answers = self.members.store_answers(self.status.position());
+        if let Some(at) = answers.reached {
             self.freshness.record(at);
         }
+        if let Some(at) = answers.any {
+            self.freshness.record_elsewhere(at);
+        }
     }
 
     fn freshness_limits(&self) -> FreshnessLimits {
@@ -268,7 +271,7 @@
     /// whose leases expired are distinguished from targets that left.
     pub(crate) fn update_outage(&mut self, now: Time) {
         self.record_answers_of_peers();
-        if self.freshness.age(now) > self.freshness_limits().outage_after {
+        if self.freshness.silence(now) > self.freshness_limits().outage_after {
             self.recovering_until = now.after(OUTAGE_RECOVERY);
         }
     }
--- a/src/entry/state/changes/tests.rs
+++ b/src/entry/state/changes/tests.rs
@@ -1,6 +1,9 @@
 use std::time::Duration;
 
 use super::*;
+use crate::entry::fleet::members::InstanceStatus;
+use crate::entry::fleet::message::Heartbeat;
+use crate::entry::fleet::watchers::StoreAccess;
 use crate::entry::model::{Change, Target};
 use crate::entry::settings::Tuning;
 use crate::entry::testing::settings;
@@ -103,6 +106,35 @@
     }
 }
 
+/// Guards against an instance that lags behind its peers, as by a large configuration on a narrow
+/// link, and takes that for an outage of the store.
+#[test]
+fn a_removal_that_arrives_late_is_no_expired_lease_while_the_store_answers_peers() {
+    let mut state = state_with(&["t0", "t1"]);
+    for tick in 10..=60 {
+        let now = at(tick * 100);
+        let heartbeat = Heartbeat {
+            zone: "a".into(),
+            status: InstanceStatus {
+                store: StoreAccess::Watching,
+                store_answer_age_ms: Some(10),
+                revision: 2,
+                ..InstanceStatus::default()
+            },
+            reports: Vec::new(),
+            member: None,
+            cases: Vec::new(),
+            evidence: Vec::new(),
+            limits: Vec::new(),
+            leaving: Vec::new(),
+        };
+        state.receive_heartbeat(now, ([127, 0, 0, 3], 7000).into(), &heartbeat);
+        state.update_outage(now);
+    }
+    remove(&mut state, at(6100), "t0", 2);
+    assert!(!is_used(&state, "t0", at(6100)));
+}
+
 /// A target that leaves serves on for the limit, which is 2 s here. It left after the last
 /// answer without its removal.
 #[test]
