Let watches wait longer where the propagation limit is longer

Operators would see: more calls to the store than needed where the limit is 2.5 or 3 s, as watches ended one after the other by the times of the shortest one.

Cause: the time between two answers was capped at 0.7 s and the wait of a watch at 2.8 s, for a limit of 2 s.

Now both follow from the limit (0.35 and 1.4 of it), unchanged at 2 s. The tests of the chain and of calm hold at all three limits.

--- a/src/entry/fleet/freshness.rs
+++ b/src/entry/fleet/freshness.rs
@@ -7,9 +7,6 @@
 
 use crate::units::Time;
 
-/// Longest time between two answers in calm, so that few calls are made where the limit is
-/// long.
-const MAX_ANSWER_INTERVAL: Duration = Duration::from_millis(700);
 /// Fraction of the propagation limit between two answers in calm.
 const ANSWER_INTERVAL_FRACTION: f64 = 0.35;
 /// Fraction of the propagation limit after which the copy is in doubt. The rest is for
@@ -32,9 +29,8 @@
     /// The times for a propagation limit.
     #[must_use]
     pub fn new(propagation_limit: Duration) -> Self {
-        let interval = propagation_limit.mul_f64(ANSWER_INTERVAL_FRACTION);
         Self {
-            answer_interval: interval.min(MAX_ANSWER_INTERVAL),
+            answer_interval: propagation_limit.mul_f64(ANSWER_INTERVAL_FRACTION),
             doubt_after: propagation_limit.mul_f64(DOUBT_FRACTION),
             outage_after: propagation_limit,
         }
--- a/src/entry/fleet/sync.rs
+++ b/src/entry/fleet/sync.rs
@@ -9,7 +9,6 @@
 use crate::entry::fleet::replica::{Delta, Position};
 use crate::entry::fleet::watchers::StoreAccess;
 use crate::entry::model::{Change, Registration};
-use crate::entry::settings::Tuning;
 use crate::entry::shared::Shared;
 use crate::http1::client::ResponseProgress;
 use crate::platform::prepared::record;
@@ -26,7 +25,8 @@
 /// First delay of an instance that did not watch before. It is longer than peers take
 /// to learn of the failure, so that the next instances in the order try.
 pub(crate) const FIRST_ATTEMPT_BACKOFF: Duration = Duration::from_millis(600);
-/// Wait of a watch that only checks whether the store is reachable.
+/// Wait of a watch while the store may be unreachable. It must not wait long for a response that
+/// never comes: when the store becomes silent and returns, connections from before stay silent.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(100);
 /// Interval of checks for registrations of instances that were silent for long.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(60);
@@ -210,17 +210,10 @@
     if state.watches() {
         state.watch_wait(now)
     } else {
-        confirm_timeout(&state.tuning)
+        CONFIRM_TIMEOUT
     }
 }
 
-/// Wait of a watch while the store may be unreachable. It must not wait long for a response
-/// that never comes: when the store becomes silent and returns, connections from before stay
-/// silent.
-fn confirm_timeout(tuning: &Tuning) -> Duration {
-    CONFIRM_TIMEOUT.min(tuning.watch_timeout)
-}
-
 /// Returns once peers have had changes for [`STALL_TIMEOUT`] that the own watch after `start`
 /// has not delivered, and nothing of its response has arrived for as long.
 async fn watch_stalled(shared: &Shared, start: Position, progress: &ResponseProgress) {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -104,10 +104,6 @@
     /// Number of instances that watch the store for all. With four, one nearly always
     /// remains when a partition cuts off a third of the instances.
     pub store_watchers: usize,
-    /// Maximum wait of a watch; each watch counts as a call. One that stays silent
-    /// after an outage of the store must end within the time limit for configurations.
-    /// See [`crate::entry::fleet::watchers::WatchSchedule`].
-    pub watch_timeout: Duration,
     /// Time for which changes are batched before the next watch; a fraction of the time
     /// limit for a configuration to come into force.
     pub batch_delay: Duration,
@@ -132,7 +128,6 @@
             peer_silence_timeout: Duration::from_millis(1300),
             peer_remove_after: Duration::from_secs(60),
             store_watchers: 4,
-            watch_timeout: Duration::from_millis(2800),
             batch_delay: Duration::from_millis(250),
             directory_ttl: Duration::from_secs(1),
             probe_timeout: Duration::from_millis(250),
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -236,9 +236,11 @@
         let own = self.members.own_watcher(self.status.store);
         let mut others = self.members.watchers(now);
         others.retain(|other| other.access == StoreAccess::Watching);
+        let interval = self.freshness_limits().answer_interval;
+        let wanted = u32::try_from(self.tuning.store_watchers).unwrap_or(u32::MAX);
         let schedule = WatchSchedule {
-            interval: self.freshness_limits().answer_interval,
-            max_wait: self.tuning.watch_timeout,
+            interval,
+            max_wait: interval.saturating_mul(wanted),
             ahead: others
                 .iter()
                 .filter(|other| other.weight > own.weight)
