Say what the fractions of the propagation limit are derived from

The step in which more instances ask is no longer called long enough for all to have heard of the first ones; through relays it isn't, and a few more ask.

--- a/src/entry/fleet/freshness.rs
+++ b/src/entry/fleet/freshness.rs
@@ -7,10 +7,13 @@
 
 use crate::units::Time;
 
-/// Fraction of the propagation limit between two answers in calm.
+/// Fraction of the propagation limit between two answers in calm. With the time until all have
+/// heard of an answer, 0.2 s, or 0.5 s through relays in a large membership, it must stay below
+/// [`DOUBT_FRACTION`] at limits of 2, 2.5 and 3 s.
 const ANSWER_INTERVAL_FRACTION: f64 = 0.35;
-/// Fraction of the propagation limit after which the copy is in doubt. The rest is for
-/// another instance to ask, and for what it finds to reach all.
+/// Fraction of the propagation limit after which the copy is in doubt. The rest, 0.8 s at 2 s and
+/// 1 s at 2.5 s, is for others to ask (0.1 s, and one step of more that ask) and for what they find
+/// to reach all, which takes 0.4 s, or 0.7 s through relays.
 const DOUBT_FRACTION: f64 = 0.6;
 
 /// Times that follow from the limit within which changes must be in force everywhere.
--- a/src/entry/fleet/watchers.rs
+++ b/src/entry/fleet/watchers.rs
@@ -12,8 +12,9 @@
 /// Time for which too few instances must watch before another one starts: three
 /// heartbeats, so that a watcher that only renews its watch is not replaced.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(300);
-/// Time after which as many instances more ask the store while the copies are in doubt: the
-/// first ones have told all what they learned.
+/// Time after which as many instances more ask the store while the copies are in doubt. In a small
+/// membership all have heard by then what the first ones learned; through relays it takes longer,
+/// and more may ask than needed. All steps lie within the rest of the propagation limit.
 const DOUBT_STEP: Duration = Duration::from_millis(200);
 /// Maximum number of instances with recently failed calls that are skipped. If that
 /// many fail, the store is unavailable: when it refuses a third of the instances, so
--- a/src/entry/fleet/watchers/tests.rs
+++ b/src/entry/fleet/watchers/tests.rs
@@ -339,6 +339,8 @@
 /// configuration, although the store would answer them; see [`FreshnessLimits`].
 #[test]
 fn a_change_is_known_in_time_though_no_watcher_is_answered() {
+    // Instances and limits of the deployments. A view is a heartbeat and the way old, 0.2 s; in a
+    // large membership a relay's heartbeat, each 0.3 s, comes in addition.
     const SMALL: (usize, Duration, usize) = (14, Duration::from_secs(2), 2);
     const GROWN: (usize, Duration, usize) = (131, Duration::from_millis(2500), 5);
     const LARGE: (usize, Duration, usize) = (313, Duration::from_secs(3), 5);
--- a/src/entry/state/changes.rs
+++ b/src/entry/state/changes.rs
@@ -9,7 +9,8 @@
 use crate::units::Time;
 
 /// Fraction of the propagation limit in which a removed target gets requests if its service
-/// has no other. The rest is for them to run before it ends.
+/// has no other. It serves for the whole limit; the rest, half a second or more, is for the last
+/// of them to run before it ends.
 const SERVING_FRACTION: f64 = 0.75;
 
 impl State {
--- a/src/entry/window/tests.rs
+++ b/src/entry/window/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 
+/// Window of the platform's limit on retries.
 const WINDOW: Duration = Duration::from_secs(10);
 
 fn rule(slack: f64) -> RetryBudgetRule {
