Part the progress of responses and the socket options from the HTTP client

The client sends a request and reads its response; how far that has arrived is for others, and the options are also those of clients' sockets.

--- a/src/entry/fleet/sync.rs
+++ b/src/entry/fleet/sync.rs
@@ -10,7 +10,7 @@
 use crate::entry::fleet::watchers::StoreAccess;
 use crate::entry::model::{Change, Registration};
 use crate::entry::shared::Shared;
-use crate::http1::client::ResponseProgress;
+use crate::http1::progress::ResponseProgress;
 use crate::platform::prepared::record;
 use crate::platform::prepared::store::{
     ChangeSet, ReadConsistency, RejectedRecord, StoreClient, StoreError,
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -1,24 +1,23 @@
 //! Client side of one connection: sends a request, whose body may still be arriving, and
 //! reads the whole response.
 
-use std::io::{self, ErrorKind};
+use std::io::ErrorKind;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use http::HeaderMap;
-use socket2::{SockRef, TcpKeepalive};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, Interest, ReadBuf};
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
-use tokio::net::tcp::{ReadHalf, WriteHalf};
-use tokio::time::Instant;
+use tokio::net::tcp::WriteHalf;
 
 use super::body::{BodyError, Framing, ResponseMemory, declared_framing, read_body};
+use super::progress::{Reader, ResponseProgress};
 use super::request_body::{ReadError, RequestBody};
+use super::socket::set_socket_options;
 use super::{MAX_HEADERS, READ_BYTES, connection_lists, header_map};
 
 /// Bytes of a request's body that are sent with one write.
@@ -28,11 +27,6 @@
 /// Most informational responses, and responses to other requests, before the one that a
 /// request waits for. A faulty server may send them without end.
 const MAX_SKIPPED_RESPONSES: usize = 16;
-/// Time after which a connection with unacknowledged bytes is ended. It allows a few
-/// round trips between regions, and is short compared with the deadline of a request.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Idle time before the first TCP keep-alive probe, and between probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Response with its whole body.
 #[derive(Debug, Clone)]
@@ -70,66 +64,6 @@
     pub chunked: bool,
 }
 
-/// How far a response has arrived, for others than its reader.
-#[derive(Debug, Default)]
-pub(crate) struct ResponseProgress(Mutex<Received>);
-
-/// What has arrived of a response.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Received {
-    /// Bytes on the connection.
-    pub bytes: usize,
-    /// When the last of them arrived.
-    pub last: Option<Instant>,
-}
-
-impl ResponseProgress {
-    /// What has arrived since the last [`Self::reset`].
-    pub(crate) fn received(&self) -> Received {
-        *self.lock()
-    }
-
-    /// Starts again with the next response.
-    pub(crate) fn reset(&self) {
-        *self.lock() = Received::default();
-    }
-
-    fn add(&self, bytes: usize) {
-        let mut received = self.lock();
-        received.bytes += bytes;
-        received.last = Some(Instant::now());
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Received> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// Reads from a connection, and records the progress if it is observed.
-struct Reader<'a> {
-    rx: ReadHalf<'a>,
-    progress: Option<&'a ResponseProgress>,
-}
-
-impl AsyncRead for Reader<'_> {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        let before = buf.filled().len();
-        let result = Pin::new(&mut this.rx).poll_read(cx, buf);
-        let bytes = buf.filled().len() - before;
-        if let Some(progress) = this.progress
-            && bytes > 0
-        {
-            progress.add(bytes);
-        }
-        result
-    }
-}
-
 /// Why an exchange failed.
 #[derive(Debug, derive_more::Display)]
 pub(crate) enum ExchangeError {
@@ -481,21 +415,3 @@
         Err(_) => Err(ExchangeError::Malformed("malformed response head")),
     }
 }
-
-/// Disables Nagle's algorithm, and limits the time until a peer that vanished without
-/// a reset is detected. Failures are only logged.
-pub(super) fn set_socket_options(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(2);
-    let results = [
-        socket.set_tcp_nodelay(true),
-        socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)),
-        socket.set_tcp_keepalive(&keepalive),
-    ];
-    for err in results.into_iter().filter_map(Result::err) {
-        tracing::debug!(%err, "could not set a socket option; a vanished peer is detected later");
-    }
-}
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -10,9 +10,11 @@
 mod head;
 mod incoming;
 mod pipeline;
+pub(crate) mod progress;
 pub(crate) mod rejection;
 pub(crate) mod request_body;
 pub(crate) mod server;
+mod socket;
 
 use bytes::BytesMut;
 use http::{HeaderMap, HeaderName, HeaderValue};
--- a/src/http1/server.rs
+++ b/src/http1/server.rs
@@ -13,13 +13,13 @@
 
 use super::READ_BYTES;
 use super::body::{BodyError, Framing};
-use super::client::set_socket_options;
 use super::connection::{Input, Next, ServerConn};
 use super::head::{Head, Persistence, encode};
 use super::incoming::{BODY_READ_BYTES, IncomingBody};
 use super::pipeline::{Exchange, Pipeline};
 use super::rejection::Rejection;
 use super::request_body::{BodyMemory, RequestBody};
+use super::socket::set_socket_options;
 
 /// Bytes of pipelined requests that are buffered while a request is handled.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -18,9 +18,8 @@
 use self::changes::{Events, Page};
 use super::wire;
 use crate::entry::fleet::replica::Position;
-use crate::http1::client::{
-    Conn, ExchangeError, OutgoingRequest, Received, Response, ResponseProgress,
-};
+use crate::http1::client::{Conn, ExchangeError, OutgoingRequest, Response};
+use crate::http1::progress::{Received, ResponseProgress};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Timeout for a response; a slow store takes hundreds of milliseconds. A response that
