Take a response without a status code of HTTP for none

What callers saw: a server in trouble sent a response with the status 000, and they got it, as `HTTP/1.1 0 Unknown` with the server's headers and body; so with 001 to 099 and 600 to 999, to GET, POST and HEAD, with a length, in chunks and without a body.

Cause: the parser takes any three digits, and nothing after it asked whether HTTP has such a status (RFC 9110, section 15: 100 to 599). The same head is read for health checks and calls to the store: `server-leaving` and `server-limit` of a health check with the status 000 were believed, and the store's write with it was reported as refused, though it may have been made.

Change: the status is checked where heads are read, for all three, and held as a StatusCode. The response is lost like any other that isn't HTTP: 502 for a request that may run only once, whatever the response states, a retry within the budget for others; the connection is closed; the attempt counts as the target's failure, a health check as unanswered, a call to the store as one of unknown outcome.

--- a/src/entry/request/attempt.rs
+++ b/src/entry/request/attempt.rs
@@ -434,13 +434,15 @@
                 ExchangeError::NoMemory => AttemptOutcome::Discarded,
                 ExchangeError::Lost(_)
                 | ExchangeError::TooLarge(_)
-                | ExchangeError::Malformed(_) => AttemptOutcome::Lost,
+                | ExchangeError::Malformed(_)
+                | ExchangeError::InvalidStatus(_) => AttemptOutcome::Lost,
             };
             return (outcome, None, err.to_string());
         }
     };
     let meta = wire::response_meta(response.status, &response.headers);
-    let cause = format!("status {}", response.status);
+    let status = response.status.as_u16();
+    let cause = format!("status {status}");
     if meta.not_run {
         return (AttemptOutcome::NotRun, Some(response), cause);
     }
@@ -449,7 +451,7 @@
         .headers
         .contains_key(http::header::CONTENT_ENCODING);
     // A middlebox or a faulty server may have made it while the request runs.
-    let is_unproven = !meta.proven && (200..500).contains(&response.status);
+    let is_unproven = !meta.proven && (200..500).contains(&status);
     if !matches_request || is_encoded || is_unproven {
         return (
             AttemptOutcome::Lost,
@@ -457,7 +459,7 @@
             "the response does not match the request, is encoded or is not signed".into(),
         );
     }
-    if response.status >= 500 || matches!(response.status, 408 | 429) {
+    if status >= 500 || matches!(status, 408 | 429) {
         return (AttemptOutcome::TargetFailed, Some(response), cause);
     }
     (AttemptOutcome::Answered, Some(response), cause)
--- a/src/entry/request/attempt/tests.rs
+++ b/src/entry/request/attempt/tests.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use standin::prepared::target::TargetStandin;
+use standin::raw::RawServer;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -216,3 +218,20 @@
     req.headers.insert(http::header::CONNECTION, named);
     assert_eq!(forward::serve(shared, req).await.status, 503);
 }
+
+/// A new instance chooses at random between a target that garbles responses and a sound one.
+#[tokio::test]
+async fn a_request_is_retried_on_another_target_after_a_response_that_is_not_http() {
+    let garbling = RawServer::start().await.unwrap();
+    let response = b"HTTP/1.1 000 OK\r\nx-request-id: own\r\ncontent-length: 0\r\n\r\n";
+    garbling
+        .responses
+        .change(|responses| responses.request = response.to_vec());
+    let sound = TargetStandin::start("t", "s").await.unwrap();
+    for _ in 0..32 {
+        let targets = [("garbling", garbling.address), ("t", sound.address())];
+        let reply = forward::serve(instance_with(&targets), request("/x", "own")).await;
+        assert_eq!(reply.status, 200);
+    }
+    assert!(!garbling.arrivals.get().is_empty());
+}
--- a/src/entry/request/forward/ending.rs
+++ b/src/entry/request/forward/ending.rs
@@ -29,7 +29,7 @@
             version = self.admitted.version,
             service = %self.admitted.service,
             target = %completed.choice.id,
-            status = response.status,
+            status = response.status.as_u16(),
             signed = wire::response_meta(response.status, &response.headers).proven,
             slowness_percent = completed.choice.candidate.slowness_percent,
             occupied = completed.choice.candidate.occupied,
@@ -41,7 +41,9 @@
             took_ms = millis(self.outbound.started.elapsed()),
             "answered"
         );
-        if completed.outcome == AttemptOutcome::TargetFailed && implies_not_run(response.status) {
+        if completed.outcome == AttemptOutcome::TargetFailed
+            && implies_not_run(response.status.as_u16())
+        {
             return (Outcome::Lost, reply(Outcome::Lost, DEFAULT_RETRY_AFTER));
         }
         let outcome = if completed.outcome == AttemptOutcome::Answered {
@@ -125,7 +127,7 @@
             return self.refuse(refusal);
         }
         match failure {
-            Some(response) if !implies_not_run(response.status) => {
+            Some(response) if !implies_not_run(response.status.as_u16()) => {
                 (Outcome::TargetFailed, forward_response(response))
             }
             _ => (Outcome::Lost, reply(Outcome::Lost, refusal.retry_after)),
--- a/src/entry/request/outcome.rs
+++ b/src/entry/request/outcome.rs
@@ -183,7 +183,7 @@
 /// Converts a target's response to the reply for the caller.
 pub(crate) fn forward_response(response: Response) -> Reply {
     Reply {
-        status: response.status,
+        status: response.status.as_u16(),
         headers: response.headers,
         body: response.body,
     }
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
-use http::HeaderMap;
+use http::{HeaderMap, StatusCode};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
@@ -18,6 +18,7 @@
 use super::progress::{Reader, ResponseProgress};
 use super::request_body::{ReadError, RequestBody};
 use super::socket::set_socket_options;
+use super::status::{InvalidStatus, parse_status};
 use super::{MAX_HEADERS, READ_BYTES, connection_lists, header_map};
 
 /// Bytes of a request's body that are sent with one write.
@@ -32,7 +33,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Response {
     /// Status code; never an informational (1xx) one.
-    pub status: u16,
+    pub status: StatusCode,
     /// All headers as received, hop-by-hop ones included.
     pub headers: HeaderMap,
     /// Body without its transfer coding.
@@ -82,11 +83,20 @@
     /// The received bytes are not a valid HTTP response.
     #[display("{_0}")]
     Malformed(&'static str),
+    /// The received response has no status code of HTTP.
+    #[display("{_0}")]
+    InvalidStatus(InvalidStatus),
     /// The caller did not send the body whole, so that the request was sent in part.
     #[display("the request's body was not sent whole: {_0}")]
     RequestBody(ReadError),
 }
 
+impl From<InvalidStatus> for ExchangeError {
+    fn from(err: InvalidStatus) -> Self {
+        Self::InvalidStatus(err)
+    }
+}
+
 impl From<BodyError> for ExchangeError {
     fn from(err: BodyError) -> Self {
         match err {
@@ -341,7 +351,7 @@
 ) -> Result<(Response, bool), ExchangeError> {
     for _ in 0..=MAX_SKIPPED_RESPONSES {
         let (status, headers, is_http11) = read_head(rx, buf).await?;
-        if (100..200).contains(&status) {
+        if status.is_informational() {
             continue;
         }
         let framing = response_framing(req, status, &headers).map_err(ExchangeError::Malformed)?;
@@ -363,7 +373,7 @@
 /// Returns the framing of the response to `req`.
 fn response_framing(
     req: &OutgoingRequest<'_>,
-    status: u16,
+    status: StatusCode,
     headers: &HeaderMap,
 ) -> Result<Framing, &'static str> {
     Ok(match declared_framing(headers)? {
@@ -373,10 +383,7 @@
     })
 }
 
-async fn read_head(
-    rx: &mut Reader<'_>,
-    buf: &mut BytesMut,
-) -> Result<(u16, HeaderMap, bool), ExchangeError> {
+async fn read_head(rx: &mut Reader<'_>, buf: &mut BytesMut) -> Result<Head, ExchangeError> {
     loop {
         if let Some((head, length)) = parse_head(buf)? {
             let _ = buf.split_to(length);
@@ -395,7 +402,7 @@
 }
 
 /// Status, headers, and whether the version is HTTP/1.1.
-type Head = (u16, HeaderMap, bool);
+type Head = (StatusCode, HeaderMap, bool);
 
 /// Parses a head and returns it with its length; `None` if it is incomplete.
 fn parse_head(buf: &BytesMut) -> Result<Option<(Head, usize)>, ExchangeError> {
@@ -406,7 +413,7 @@
     let mut head = httparse::Response::new(&mut headers);
     match head.parse(buf) {
         Ok(httparse::Status::Complete(length)) => {
-            let status = head.code.unwrap_or_default();
+            let status = parse_status(head.code.unwrap_or_default())?;
             let map = header_map(head.headers)
                 .ok_or(ExchangeError::Malformed("invalid response header"))?;
             Ok(Some(((status, map, head.version == Some(1)), length)))
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod request_body;
 pub(crate) mod server;
 mod socket;
+pub(crate) mod status;
 
 use bytes::BytesMut;
 use http::{HeaderMap, HeaderName, HeaderValue};
--- a/src/http1/tests/client.rs
+++ b/src/http1/tests/client.rs
@@ -29,12 +29,13 @@
     for (name, bytes, close) in cases {
         let (result, reusable) = get(fixed_peer(bytes, close).await, "own").await;
         let text = match result {
-            Ok(resp) => format!("{} {:?}", resp.status, resp.body),
+            Ok(resp) => format!("{} {:?}", resp.status.as_u16(), resp.body),
             Err(ExchangeError::NotSent(_)) => "not sent".into(),
             Err(ExchangeError::Lost(_)) => "lost".into(),
             Err(ExchangeError::TooLarge(_)) => "too large".into(),
             Err(ExchangeError::NoMemory) => "no memory".to_owned(),
             Err(ExchangeError::Malformed(_)) => "malformed".into(),
+            Err(ExchangeError::InvalidStatus(_)) => "invalid status".into(),
             Err(ExchangeError::RequestBody(_)) => "body not sent".into(),
         };
         let reuse = if reusable { "reusable" } else { "not reusable" };
@@ -43,6 +44,28 @@
     insta::assert_snapshot!(seen);
 }
 
+/// RFC 9110, section 15. Checks the first and last status codes inside and outside of the range.
+#[tokio::test]
+async fn a_response_needs_a_status_that_http_has() {
+    for (status, is_valid) in [
+        (0, false),
+        (99, false),
+        (200, true),
+        (599, true),
+        (600, false),
+        (999, false),
+    ] {
+        let response = format!("HTTP/1.1 {status:03} S\r\ncontent-length: 0\r\n\r\n");
+        let (result, reusable) =
+            get(fixed_peer(response.leak().as_bytes(), false).await, "own").await;
+        match &result {
+            Ok(resp) => assert_eq!(resp.status, status),
+            Err(err) => assert!(err.to_string().contains(&format!("{status:03}")), "{err}"),
+        }
+        assert_eq!((result.is_ok(), reusable), (is_valid, is_valid), "{status}");
+    }
+}
+
 #[tokio::test]
 async fn a_refused_connection_gives_not_sent() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/src/platform/prepared/store.rs
+++ b/src/platform/prepared/store.rs
@@ -352,7 +352,7 @@
 }
 
 fn decode_response<T: DeserializeOwned>(resp: &Response) -> Result<T, StoreError> {
-    match resp.status {
+    match resp.status.as_u16() {
         200 => {
             // Only the item with bytes that are no text is then odd.
             let text = String::from_utf8_lossy(&resp.body);
--- a/src/platform/prepared/store/tests.rs
+++ b/src/platform/prepared/store/tests.rs
@@ -124,6 +124,13 @@
 async fn answering(body: &str) -> StoreClient {
     let bytes = body.chars().map(|char| u8::try_from(char).unwrap());
     let body: Vec<u8> = bytes.collect();
+    let length = body.len();
+    let head = format!("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n");
+    sending([head.as_bytes(), &body].concat()).await
+}
+
+/// A store that sends these bytes to the first call of each connection.
+async fn sending(bytes: Vec<u8>) -> StoreClient {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
@@ -133,11 +140,7 @@
             while !buf.ends_with(b"\r\n\r\n") {
                 buf.push(stream.read_u8().await.unwrap());
             }
-            let length = body.len();
-            let head =
-                format!("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n");
-            let sent = [head.as_bytes(), &body].concat();
-            stream.write_all(&sent).await.unwrap();
+            stream.write_all(&bytes).await.unwrap();
         }
     });
     client(address)
@@ -252,6 +255,19 @@
     }
 }
 
+/// Whoever sent it, the write may have been made.
+#[tokio::test]
+async fn a_status_that_http_does_not_have_refuses_nothing() {
+    for status in ["000", "099", "600", "999"] {
+        let response = format!("HTTP/1.1 {status} OK\r\ncontent-length: 0\r\n\r\n");
+        let mut client = sending(response.into_bytes()).await;
+        let read = client.read_all(ReadConsistency::Linearizable).await;
+        assert_eq!(kind(&read), "unknown", "{status}");
+        let written = client.put_if("k", b"v", 0).await;
+        assert_eq!(kind(&written), "unknown", "{status}");
+    }
+}
+
 #[tokio::test]
 async fn retrying_a_write_whose_response_was_lost_gives_a_conflict() {
     let (store, mut client) = setup().await;
--- a/src/platform/prepared/wire.rs
+++ b/src/platform/prepared/wire.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use http::HeaderMap;
+use http::{HeaderMap, StatusCode};
 use serde::Serialize;
 
 use crate::entry::target::load::Load;
@@ -89,9 +89,9 @@
 ///
 /// A response cut in its head may run on into another one. Neither the id nor the statement
 /// holds in one with several ids, or with the statement and a status of work that was tried.
-pub(crate) fn response_meta(status: u16, headers: &HeaderMap) -> AnswerMeta {
+pub(crate) fn response_meta(status: StatusCode, headers: &HeaderMap) -> AnswerMeta {
     let states_not_run = headers.contains_key(NOT_EXECUTED);
-    let may_state_it = (400..500).contains(&status) || status == 503;
+    let may_state_it = status.is_client_error() || status == 503;
     AnswerMeta {
         id: list(headers, REQUEST_ID).filter(|_| may_state_it || !states_not_run),
         proven: headers.contains_key(SIGNATURE),
--- a/src/platform/prepared/wire/tests.rs
+++ b/src/platform/prepared/wire/tests.rs
@@ -2,6 +2,10 @@
 
 use super::*;
 
+fn response_meta(status: u16, headers: &HeaderMap) -> AnswerMeta {
+    super::response_meta(StatusCode::from_u16(status).unwrap(), headers)
+}
+
 fn headers(pairs: &[(&'static str, &'static str)]) -> HeaderMap {
     pairs
         .iter()
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod list;
 pub mod platform;
 pub mod prepared;
+pub mod raw;
 mod socket;
 pub mod store;
 pub mod target;
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -2,6 +2,7 @@
 
 mod entry_accounts;
 mod entry_accounts_limits;
+mod entry_broken_responses;
 mod entry_bursts;
 mod entry_cluster;
 mod entry_crashes;
