Check the status of responses that a library has read

What callers saw, of `serve`: responses with the status 600 to 999, or 101, as a target in trouble sent them. What operators saw: a command "refused with status 999". What an instance saw: a store that refused a write with such a status, though it may have made it.

Cause: the same as in the prepared platform's client; the HTTP library refuses 000 to 099 by itself and accepts up to 999. It also returns 101, though no request asks for another protocol.

Change: one check behind each use of the library's client: calls to targets end as `target_broken` (it may have run; 502), calls to the store and the list have an unknown outcome, commands have no answer (code 4).

Evidence: all three tests failed before: tests/outcome got 101 and 600 as results of calls, tests/store "Refused(status 600)", tests/cli exit code 5. The stand-in's target can send bytes of a test's choice in place of a response (Raw). 000 and a blank in a field's name were refused before; their cases are kept.

--- a/src/command/client.rs
+++ b/src/command/client.rs
@@ -11,6 +11,7 @@
 
 use crate::cli::InstanceArgs;
 use crate::error::Error;
+use crate::http1::status::with_valid_status;
 use crate::platform::http::{self as platform_http, HttpClient};
 use crate::settings::{Secret, SecretSource};
 
@@ -84,6 +85,7 @@
         let resp = sent
             .map_err(|err| self.unreachable(&err))?
             .map_err(|err| self.unreachable(&err))?;
+        let resp = with_valid_status(resp).map_err(|err| self.unreachable(&err))?;
         let status = resp.status();
         let body = resp
             .into_body()
--- a/src/dispatch/connection.rs
+++ b/src/dispatch/connection.rs
@@ -16,6 +16,7 @@
 use super::body::UpstreamBody;
 use super::kind::ErrorKind;
 use super::write_deadline::{WriteDeadline, WriteDeadlineStream};
+use crate::http1::status::with_valid_status;
 use crate::instance::Instance;
 use crate::units::Time;
 
@@ -67,7 +68,8 @@
 pub(crate) enum SendError {
     /// No byte of the request was written.
     Unsent,
-    /// The connection failed after a part of the request may have been written.
+    /// The connection failed after a part of the request may have been written, or what was
+    /// received is no response.
     Broken,
     /// Reading the request body failed.
     Body,
@@ -301,7 +303,7 @@
         send_deadline: Time,
     ) -> Result<Response<Incoming>, SendError> {
         self.write_deadline.set(send_deadline);
-        self.tx.try_send_request(req).await.map_err(|mut err| {
+        let resp = self.tx.try_send_request(req).await.map_err(|mut err| {
             if err.take_message().is_some() {
                 SendError::Unsent
             } else if err.error().is_user() {
@@ -309,6 +311,10 @@
             } else {
                 SendError::Broken
             }
+        })?;
+        with_valid_status(resp).map_err(|err| {
+            tracing::warn!(target = %self.address, %err, "response is not valid HTTP; connection closed");
+            SendError::Broken
         })
     }
 
--- a/src/http1/status.rs
+++ b/src/http1/status.rs
@@ -1,14 +1,14 @@
 //! Status codes of received responses.
 
-use http::StatusCode;
+use http::{Response, StatusCode};
 
 /// Highest status code of HTTP (RFC 9110, section 15). [`StatusCode`] also holds those up to 999.
 const MAX_STATUS: u16 = 599;
 
-/// A response has a status code that HTTP does not have. Like any response that can't be parsed,
-/// it says nothing of the request.
+/// A response has a status code that HTTP does not have, or not there. Like any response that can't
+/// be parsed, it says nothing of the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
-#[display("status code {_0:03} is not between 100 and {MAX_STATUS}")]
+#[display("invalid status code {_0:03}")]
 pub(crate) struct InvalidStatus(#[error(not(source))] u16);
 
 /// Converts the three digits of a status line.
@@ -21,3 +21,15 @@
         .filter(|_| code <= MAX_STATUS)
         .ok_or(InvalidStatus(code))
 }
+
+/// Returns a response that an HTTP library has received, if its status code is valid.
+///
+/// # Errors
+/// HTTP does not have its status code, or it is 101, as no request asks for another protocol.
+pub(crate) fn with_valid_status<T>(resp: Response<T>) -> Result<Response<T>, InvalidStatus> {
+    let status = parse_status(resp.status().as_u16())?;
+    if status.is_informational() {
+        return Err(InvalidStatus(status.as_u16()));
+    }
+    Ok(resp)
+}
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::TokioExecutor;
 
 use super::store::StoreError;
+use crate::http1::status::with_valid_status;
 
 /// Largest response body that is read, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -49,7 +50,7 @@
 ) -> Result<HttpResponse, StoreError> {
     let req = request(method, address, path, body)?;
     let response = async {
-        let resp = client.request(req).await.map_err(|err| store_error(&err))?;
+        let resp = exchange(client, req).await?;
         let status = resp.status();
         let body = Limited::new(resp.into_body(), MAX_RESPONSE_BYTES)
             .collect()
@@ -77,10 +78,18 @@
     timeout: Duration,
 ) -> Result<Response<Incoming>, StoreError> {
     let req = request(Method::POST, address, path, body)?;
-    tokio::time::timeout(timeout, client.request(req))
+    tokio::time::timeout(timeout, exchange(client, req))
         .await
         .map_err(|_| StoreError::OutcomeUnknown(format!("timeout after {timeout:?}")))?
-        .map_err(|err| store_error(&err))
+}
+
+/// Sends a request and waits for the head of its response.
+async fn exchange(
+    client: &HttpClient,
+    req: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, StoreError> {
+    let resp = client.request(req).await.map_err(|err| store_error(&err))?;
+    with_valid_status(resp).map_err(|err| StoreError::OutcomeUnknown(err.to_string()))
 }
 
 fn request(
--- a/standin/src/faults.rs
+++ b/standin/src/faults.rs
@@ -148,6 +148,8 @@
     TrailingBytes,
     /// Runs the call and sends an extra response, as if to an earlier call, before its own.
     LeadingResponse,
+    /// Runs the call, sends these bytes with the call's id in place of `CALL`, and closes.
+    Raw(&'static str),
 }
 
 /// A cold start: reduced concurrency for some time, and the behaviour above it.
--- a/standin/src/socket.rs
+++ b/standin/src/socket.rs
@@ -6,9 +6,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 
+use bytes::{Buf, Bytes};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::faults::Shared;
+
 /// A complete response that belongs to no request.
 const STRAY_RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstray";
 
@@ -28,6 +31,8 @@
     pub(crate) leading: AtomicBool,
     /// The connection ends in the head of the next response.
     pub(crate) cut_head: AtomicBool,
+    /// Bytes that are sent in place of the next response; the connection ends after them.
+    pub(crate) raw: Shared<Vec<u8>>,
 }
 
 /// The stream of one connection, which applies the faults to its bytes.
@@ -37,7 +42,7 @@
     wrote: bool,
     responded: bool,
     is_cut: bool,
-    stray: &'static [u8],
+    stray: Bytes,
 }
 
 impl Socket {
@@ -48,14 +53,14 @@
             wrote: false,
             responded: false,
             is_cut: false,
-            stray: &[],
+            stray: Bytes::new(),
         }
     }
 
     fn poll_write_stray(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         while !self.stray.is_empty() {
-            let written = ready!(Pin::new(&mut self.stream).poll_write(cx, self.stray))?;
-            self.stray = &self.stray[written..];
+            let written = ready!(Pin::new(&mut self.stream).poll_write(cx, &self.stray))?;
+            self.stray.advance(written);
         }
         Poll::Ready(Ok(()))
     }
@@ -96,7 +101,13 @@
         if this.faults.silent.load(Ordering::Relaxed) {
             return Poll::Ready(Ok(buf.len()));
         }
+        let raw = this.faults.raw.change(std::mem::take);
+        if !raw.is_empty() {
+            this.stray = raw.into();
+            this.is_cut = true;
+        }
         if this.is_cut {
+            ready!(this.poll_write_stray(cx))?;
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         }
         if this.faults.cut_head.load(Ordering::Relaxed) {
@@ -108,7 +119,7 @@
         let leading = this.faults.leading.swap(false, Ordering::Relaxed);
         // A late response to an earlier call needs an earlier call on the connection.
         if leading && this.responded {
-            this.stray = STRAY_RESPONSE;
+            this.stray = Bytes::from_static(STRAY_RESPONSE);
         }
         ready!(this.poll_write_stray(cx))?;
         let written = ready!(Pin::new(&mut this.stream).poll_write(cx, buf))?;
@@ -120,7 +131,7 @@
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         if this.wrote && this.faults.trailing.swap(false, Ordering::Relaxed) {
-            this.stray = STRAY_RESPONSE;
+            this.stray = Bytes::from_static(STRAY_RESPONSE);
         }
         this.wrote = false;
         ready!(this.poll_write_stray(cx))?;
--- a/standin/src/target/responses.rs
+++ b/standin/src/target/responses.rs
@@ -98,8 +98,12 @@
         return None;
     }
     // The call runs to its end even if its connection breaks, so it has its own task.
+    let id = identifier(req.headers(), &[CALL_HEADER]);
     let running = tokio::spawn(run(Arc::clone(&target), req, faults));
     let result = running.await.ok()??;
+    if let ResponseFault::Raw(text) = fault {
+        socket.raw.set(text.replace("CALL", &id).into_bytes());
+    }
     let mut resp = respond(&result, &socket, fault).await?;
     let load = target.load();
     if let Ok(value) = HeaderValue::from_str(&format!("{}/{}", load.in_flight, load.slots)) {
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -5,6 +5,7 @@
 
 use insta::assert_snapshot;
 use socket2::{Domain, Socket, Type};
+use standin::raw::RawServer;
 
 /// Runs the program without an address or key from the environment.
 fn run(args: &[&str]) -> Output {
@@ -95,6 +96,18 @@
     assert!(utf8(&output.stderr).contains(&address));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_status_that_http_does_not_have_is_no_refusal() {
+    let server = RawServer::start().await.expect("server");
+    let response = b"HTTP/1.1 999 OK\r\ncontent-length: 0\r\n\r\n";
+    server
+        .responses
+        .change(|responses| responses.request = response.to_vec());
+    let output = run(&["get", "--address", &server.address.to_string()]);
+    assert_eq!(output.status.code(), Some(4));
+    assert!(utf8(&output.stderr).contains("invalid status code 999"));
+}
+
 #[test]
 fn the_help_names_every_command_and_exit_code() {
     assert_snapshot!(utf8(&run(&["--help"]).stdout));
--- a/tests/outcome.rs
+++ b/tests/outcome.rs
@@ -11,6 +11,15 @@
     start_instance_with,
 };
 
+/// Responses to a call that are not valid HTTP.
+const NO_HTTP: [&str; 5] = [
+    "HTTP/1.1 101 Switching\r\nx-call-id: CALL\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n",
+    "HTTP/1.1 000 OK\r\nx-call-id: CALL\r\ncontent-length: 4\r\n\r\nbody",
+    "HTTP/1.1 600 OK\r\nx-call-id: CALL\r\ncontent-length: 4\r\n\r\nbody",
+    "HTTP/1.1 999 OK\r\nx-call-id: CALL\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nx-call-id: CALL\r\nx load: 1\r\ncontent-length: 4\r\n\r\nbody",
+];
+
 /// One instance and a few targets of the service `orders`.
 struct Fixture {
     platform: Platform,
@@ -103,7 +112,7 @@
         ran,
         runs,
     };
-    vec![
+    [
         case(ResponseFault::None, None, None, 1),
         case(ResponseFault::Shed, Some("target_shed"), Some("no"), 0),
         case(
@@ -138,6 +147,12 @@
         ),
         case(ResponseFault::TrailingBytes, None, None, 1),
     ]
+    .into_iter()
+    .chain(NO_HTTP.map(|bytes| {
+        let fault = ResponseFault::Raw(bytes);
+        case(fault, Some("target_broken"), Some("unknown"), 1)
+    }))
+    .collect()
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use standin::faults::StoreFaults;
+use standin::raw::RawServer;
 use standin::store::{self, StoreStandin};
 use wagtailsaddle::platform::budget::{self, BudgetSettings, StoreBudget};
 use wagtailsaddle::platform::etcd;
@@ -272,3 +273,31 @@
     assert!(!(store.txn)(second).await.expect("response").succeeded);
     assert_eq!(standin.value("/test/a"), Some(b"1".to_vec()));
 }
+
+/// Whoever sent it, a write may have been made.
+#[tokio::test]
+async fn a_status_that_http_does_not_have_refuses_nothing() {
+    let server = RawServer::start().await.expect("server");
+    let store = etcd::client(server.address, TIMEOUT);
+    for status in ["000", "099", "600", "999"] {
+        let response = format!("HTTP/1.1 {status} OK\r\ncontent-length: 0\r\n\r\n");
+        let bytes = response.into_bytes();
+        server
+            .responses
+            .change(|responses| responses.request = bytes);
+        let watch = WatchReq {
+            key: PREFIX.to_owned(),
+            prefix: true,
+            start_revision: 1,
+        };
+        let errors = [
+            (store.range)(range()).await.err(),
+            (store.txn)(put("k", "v")).await.err(),
+            (store.watch)(watch).await.err(),
+        ];
+        for err in errors {
+            let is_unknown = matches!(err, Some(StoreError::OutcomeUnknown(_)));
+            assert!(is_unknown, "{status}: {err:?}");
+        }
+    }
+}
