Take a chunked message of HTTP/1.0 for malformed

What callers saw: a target's response of HTTP/1.0 in chunks, as a sound one.

Cause: the framing was found from the headers alone. HTTP/1.0 has no transfer codings, so the framing of such a message is faulty (RFC 9112, section 6.1), also beside a Content-Length.

Change: the framing follows from the headers and the version, for responses and for requests. Such a response is lost (502, or a retry); such a request gets 400, and its connection is closed. How a response ended is handed on from where it is read, rather than found a second time.

--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -56,12 +56,16 @@
 /// Returns the framing that the headers declare; `None` if they declare none.
 ///
 /// # Errors
-/// The framing is ambiguous or unknown. Such a message must be rejected, because it could
-/// smuggle a second one.
-pub(crate) fn declared_framing(headers: &HeaderMap) -> Result<Option<Framing>, &'static str> {
+/// The framing is ambiguous, unknown, or none of HTTP/1.0 (RFC 9112, section 6.1). Such a message
+/// must be rejected, because it could smuggle a second one.
+pub(crate) fn declared_framing(
+    headers: &HeaderMap,
+    is_http11: bool,
+) -> Result<Option<Framing>, &'static str> {
     let mut codings = headers.get_all(http::header::TRANSFER_ENCODING).iter();
     let mut lengths = headers.get_all(http::header::CONTENT_LENGTH).iter();
     match (codings.next(), lengths.next()) {
+        (Some(_), _) if !is_http11 => Err("Transfer-Encoding in HTTP/1.0"),
         (Some(_), Some(_)) => Err("both Content-Length and Transfer-Encoding are set"),
         (Some(coding), None) => {
             let chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -197,7 +197,7 @@
         let mut write_error = None;
         self.had_head |= req.is_head;
         let may_skip = !self.had_head;
-        let resp = {
+        let result = {
             let (buf, reusable) = (&mut self.buf, &mut self.reusable);
             let read = read_matching(&mut rx, buf, req, &is_match, may_skip, reusable);
             tokio::pin!(read);
@@ -213,20 +213,19 @@
                         }
                         Err(SendError::Connection(err)) => write_error = Some(err),
                     },
-                    resp = &mut read => break resp,
+                    result = &mut read => break result,
                 }
             }
         };
         // After an early response, the unsent rest of the body would be read as the next
         // request.
         self.reusable &= sender.is_done();
-        if let (Ok(resp), Some(err)) = (&resp, write_error)
-            && response_framing(req, resp.status, &resp.headers) == Ok(Framing::UntilClose)
-        {
+        let received = result?;
+        match write_error {
             // The write took the error of the reset; the end that was read is not a close.
-            return Err(ExchangeError::Lost(err));
+            Some(err) if received.framing == Framing::UntilClose => Err(ExchangeError::Lost(err)),
+            _ => Ok(received.resp),
         }
-        resp
     }
 }
 
@@ -317,13 +316,13 @@
     is_match: impl Fn(&Response) -> bool,
     may_skip: bool,
     reusable: &mut bool,
-) -> Result<Response, ExchangeError> {
+) -> Result<Received, ExchangeError> {
     for _ in 0..=MAX_SKIPPED_RESPONSES {
-        let (resp, keep_alive) = read_response(rx, buf, req).await?;
-        *reusable &= keep_alive;
-        if is_match(&resp) {
+        let received = read_response(rx, buf, req).await?;
+        *reusable &= received.keep_alive;
+        if is_match(&received.resp) {
             *reusable &= buf.is_empty();
-            return Ok(resp);
+            return Ok(received);
         }
         *reusable = false;
         if !may_skip {
@@ -331,7 +330,7 @@
                 "the response to another request came beside a HEAD request".into(),
             ));
         }
-        if !keep_alive {
+        if !received.keep_alive {
             return Err(ExchangeError::Lost(
                 "connection closed after the response to another request".into(),
             ));
@@ -342,30 +341,39 @@
     ))
 }
 
-/// Reads one response, without the informational (1xx) ones before it. The flag is true
-/// if the peer keeps the connection open after it.
+/// A response, and how its end was determined.
+struct Received {
+    resp: Response,
+    framing: Framing,
+    /// Whether the peer keeps the connection open after it.
+    keep_alive: bool,
+}
+
+/// Reads one response, without the informational (1xx) ones before it.
 async fn read_response(
     rx: &mut Reader<'_>,
     buf: &mut BytesMut,
     req: &OutgoingRequest<'_>,
-) -> Result<(Response, bool), ExchangeError> {
+) -> Result<Received, ExchangeError> {
     for _ in 0..=MAX_SKIPPED_RESPONSES {
         let (status, headers, is_http11) = read_head(rx, buf).await?;
         if status.is_informational() {
             continue;
         }
-        let framing = response_framing(req, status, &headers).map_err(ExchangeError::Malformed)?;
+        let framing =
+            response_framing(req, status, &headers, is_http11).map_err(ExchangeError::Malformed)?;
         let body = read_body(rx, buf, framing, req.max_response_bytes, req.memory).await?;
         let keep_alive =
             is_http11 && framing != Framing::UntilClose && !connection_lists(&headers, "close");
-        return Ok((
-            Response {
+        return Ok(Received {
+            resp: Response {
                 status,
                 headers,
                 body,
             },
+            framing,
             keep_alive,
-        ));
+        });
     }
     Err(ExchangeError::Malformed("too many informational responses"))
 }
@@ -375,8 +383,9 @@
     req: &OutgoingRequest<'_>,
     status: StatusCode,
     headers: &HeaderMap,
+    is_http11: bool,
 ) -> Result<Framing, &'static str> {
-    Ok(match declared_framing(headers)? {
+    Ok(match declared_framing(headers, is_http11)? {
         _ if req.is_head || status == 204 || status == 304 => Framing::None,
         Some(framing) => framing,
         None => Framing::UntilClose,
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -89,7 +89,8 @@
         Ok(httparse::Status::Complete(length)) => {
             let mut headers = header_map(req.headers)
                 .ok_or_else(|| RejectReason::HeadMalformed("invalid header".into()))?;
-            let framing = declared_framing(&headers)
+            let is_http11 = req.version == Some(1);
+            let framing = declared_framing(&headers, is_http11)
                 .map_err(|problem| RejectReason::HeadMalformed(problem.into()))?;
             let method = req.method.unwrap_or_default();
             let mut target = req.path.unwrap_or_default().to_owned();
@@ -104,7 +105,7 @@
                 target,
                 headers,
                 framing: framing.unwrap_or(Framing::None),
-                is_http11: req.version == Some(1),
+                is_http11,
             };
             Ok(Some((head, length)))
         }
--- a/src/http1/tests/client.rs
+++ b/src/http1/tests/client.rs
@@ -8,7 +8,7 @@
 /// the connection may be reused.
 #[tokio::test]
 async fn responses_are_complete_and_matching_or_errors() {
-    let cases: [(&str, &'static [u8], bool); 16] = [
+    let cases: [(&str, &'static [u8], bool); 18] = [
         ("whole", b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", false),
         ("whole, closing", b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok", true),
         ("until close", b"HTTP/1.1 200 OK\r\n\r\nall of it", true),
@@ -21,6 +21,8 @@
         ("nothing", b"", true),
         ("no HTTP", b"\x16\x03\x01garbage\r\n\r\n", true),
         ("two lengths", b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nok!", true),
+        ("HTTP/1.0", b"HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\nok", true),
+        ("HTTP/1.0, chunked", b"HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true),
         ("mixed line ends", b"HTTP/1.1 200 OK\r\ncontent-length: 2\n\nok", false),
         ("bytes after it", b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n", false),
         ("another's first", b"HTTP/1.1 200 OK\r\nid: old\r\ncontent-length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nid: own\r\ncontent-length: 2\r\n\r\nok", false),
--- a/src/http1/tests/server.rs
+++ b/src/http1/tests/server.rs
@@ -83,6 +83,10 @@
             "POST / HTTP/1.1\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"
                 .into(),
         ),
+        (
+            "chunked, of HTTP/1.0",
+            "POST / HTTP/1.0\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n".into(),
+        ),
         (
             "other coding",
             "POST / HTTP/1.1\r\ntransfer-encoding: gzip\r\n\r\n".into(),
--- a/tests/entry_broken_responses/mod.rs
+++ b/tests/entry_broken_responses/mod.rs
@@ -120,6 +120,18 @@
     }
 }
 
+/// HTTP/1.0 has no transfer codings (RFC 9112, section 6.1).
+#[tokio::test]
+async fn a_response_of_http_1_0_in_chunks_is_lost() {
+    let (cluster, target) = start().await;
+    for framing in ["", "content-length: 4\r\n", "connection: keep-alive\r\n"] {
+        let head = "HTTP/1.0 200 OK\r\nx-request-id: own\r\nx-server-signature: proof\r\n";
+        let body = "transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+        let response = [head, framing, body].concat();
+        check_is_lost(&cluster, &target, "own", response.as_bytes()).await;
+    }
+}
+
 /// Nothing that such a response says of its target may be recorded.
 #[tokio::test]
 async fn a_health_check_answered_with_a_status_that_http_does_not_have_has_no_response() {
