Make no success of a recorded response that can't be read

What callers would see, of `serve`: a repeated keyed call gets 200 if the recorded status is none of HTTP (000), 600 to 999 as they are, and an empty body if the recorded one can't be decoded.

Cause: the record comes from a peer or the store with the status as a number, and both errors were turned into defaults.

Change: such a record tells only that the call was accepted before: 409, `already_accepted`, with a log line that says why.

Evidence: server::response::tests failed before: 200 for the status 0, not 409.

--- a/src/dispatch/keyed/call.rs
+++ b/src/dispatch/keyed/call.rs
@@ -5,10 +5,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use base64::{DecodeError, Engine};
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, header};
+use http::{HeaderMap, StatusCode, header};
 use xitca_web::body::{Body, Frame};
 
 use super::{KeyedBegin, KeyedEnd, KeyedResponse, RecordKey, RecordedOutcome, Token, coordinator};
@@ -18,6 +18,7 @@
 use crate::dispatch::call::{self, Call};
 use crate::dispatch::crash;
 use crate::dispatch::kind::{ErrorKind, Ran};
+use crate::http1::status::{InvalidStatus, parse_final_status};
 use crate::instance::Instance;
 
 /// Header with the idempotency key of a call that must run at most once.
@@ -122,9 +123,20 @@
 }
 
 impl RecordedOutcome {
+    /// Returns the status.
+    ///
+    /// # Errors
+    /// It is none of a response.
+    pub(crate) fn status(&self) -> Result<StatusCode, InvalidStatus> {
+        parse_final_status(self.status)
+    }
+
     /// Returns the decoded body.
-    pub(crate) fn bytes(&self) -> Bytes {
-        STANDARD.decode(&self.body).unwrap_or_default().into()
+    ///
+    /// # Errors
+    /// It is not base64.
+    pub(crate) fn bytes(&self) -> Result<Bytes, DecodeError> {
+        STANDARD.decode(&self.body).map(Bytes::from)
     }
 }
 
--- a/src/http1/status.rs
+++ b/src/http1/status.rs
@@ -22,14 +22,24 @@
         .ok_or(InvalidStatus(code))
 }
 
-/// Returns a response that an HTTP library has received, if its status code is valid.
+/// Like [`parse_status`], for the response that ends an exchange.
 ///
 /// # Errors
-/// HTTP does not have its status code, or it is 101, as no request asks for another protocol.
-pub(crate) fn with_valid_status<T>(resp: Response<T>) -> Result<Response<T>, InvalidStatus> {
-    let status = parse_status(resp.status().as_u16())?;
+/// HTTP does not have this status code, or it is an informational one.
+pub(crate) fn parse_final_status(code: u16) -> Result<StatusCode, InvalidStatus> {
+    let status = parse_status(code)?;
     if status.is_informational() {
-        return Err(InvalidStatus(status.as_u16()));
+        return Err(InvalidStatus(code));
     }
+    Ok(status)
+}
+
+/// Returns a response that an HTTP library has received, if its status code is valid. The library
+/// skips informational ones but 101, and no request asks for another protocol.
+///
+/// # Errors
+/// See [`parse_final_status`].
+pub(crate) fn with_valid_status<T>(resp: Response<T>) -> Result<Response<T>, InvalidStatus> {
+    parse_final_status(resp.status().as_u16())?;
     Ok(resp)
 }
--- a/src/server/response.rs
+++ b/src/server/response.rs
@@ -30,10 +30,22 @@
 }
 
 /// Builds the response from the recorded outcome of an earlier call with the same
-/// idempotency key.
+/// idempotency key. A record that is no response tells only that the call was accepted.
 pub(crate) fn recorded(outcome: &RecordedOutcome) -> Response<ResponseBody> {
-    let mut resp = Response::new(ResponseBody::bytes(outcome.bytes()));
-    *resp.status_mut() = StatusCode::from_u16(outcome.status).unwrap_or_default();
+    let (status, body) = match (outcome.status(), outcome.bytes()) {
+        (Ok(status), Ok(body)) => (status, body),
+        (status, body) => {
+            let (status, body) = (status.err(), body.err());
+            tracing::warn!(
+                ?status,
+                ?body,
+                "recorded response of a keyed call is invalid"
+            );
+            return error(ErrorKind::AlreadyAccepted);
+        }
+    };
+    let mut resp = Response::new(ResponseBody::bytes(body));
+    *resp.status_mut() = status;
     let headers = resp.headers_mut();
     headers.insert(
         OUTCOME_HEADER,
@@ -161,3 +173,6 @@
 pub(crate) fn take_body(ext: RequestExt<RequestBody>) -> RequestBody {
     ext.replace_body(()).1
 }
+
+#[cfg(test)]
+mod tests;
