Check the line ends of heads that a library reads from targets

What callers saw, of `serve`: status 200 with the rest of the head, "x-lo", as the body, where a target in trouble put a line feed at the start of a field's name; also behind an informational response.

Cause: as in the prepared platform's client; the library's parser ends a line at CRLF or a line feed alone, and has no setting for it.

Change: the stream below the library follows the bytes of each response's head and fails if its lines end in different ways; the call ends as `target_broken` (it may have run; 502). The stream moves from write_deadline to target_stream, as it has two checks now. What follows the head isn't looked at.

Evidence: tests/outcome failed before: such a response was the result of a call. line_ends::tests give bodies, informational responses, several responses on one connection, byte by byte and at once.

--- a/src/dispatch/connection.rs
+++ b/src/dispatch/connection.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -15,7 +16,8 @@
 
 use super::body::UpstreamBody;
 use super::kind::ErrorKind;
-use super::write_deadline::{WriteDeadline, WriteDeadlineStream};
+use super::target_stream::{StreamChecks, TargetStream};
+use super::write_deadline::WriteDeadline;
 use crate::http1::status::with_valid_status;
 use crate::instance::Instance;
 use crate::units::Time;
@@ -59,7 +61,7 @@
     /// Whether a response on this connection has carried the id of its call.
     has_call_ids: bool,
     tx: SendRequest<UpstreamBody>,
-    write_deadline: Arc<WriteDeadline>,
+    checks: Arc<StreamChecks>,
     _open_guard: OpenGuard,
 }
 
@@ -228,12 +230,12 @@
     let worker_limit = (instance_limit / instance.tables.settings.workers).max(1);
     let open_guard = count_open(instance, address, worker_limit).ok_or(ErrorKind::TargetRefused)?;
     let opened = instance.tables.clock.now();
-    let write_deadline = Arc::new(WriteDeadline::new(instance.tables.clock));
-    let connect = tokio::time::timeout(
-        CONNECT_TIMEOUT,
-        connect(address, Arc::clone(&write_deadline)),
-    )
-    .await;
+    let checks = Arc::new(StreamChecks {
+        write_deadline: WriteDeadline::new(instance.tables.clock),
+        expects_head: AtomicBool::new(false),
+    });
+    let connect =
+        tokio::time::timeout(CONNECT_TIMEOUT, connect(address, Arc::clone(&checks))).await;
     let tx = connect
         .ok()
         .and_then(Result::ok)
@@ -245,7 +247,7 @@
         reused: false,
         has_call_ids: false,
         tx,
-        write_deadline,
+        checks,
         _open_guard: open_guard,
     })
 }
@@ -266,7 +268,7 @@
 
 async fn connect(
     address: SocketAddr,
-    write_deadline: Arc<WriteDeadline>,
+    checks: Arc<StreamChecks>,
 ) -> Result<SendRequest<UpstreamBody>, Box<dyn std::error::Error>> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
@@ -277,11 +279,7 @@
     let socket = SockRef::from(&stream);
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-    let (tx, driver) = http1::handshake(TokioIo::new(WriteDeadlineStream::new(
-        stream,
-        write_deadline,
-    )))
-    .await?;
+    let (tx, driver) = http1::handshake(TokioIo::new(TargetStream::new(stream, checks))).await?;
     tokio::task::spawn_local(async move {
         if let Err(err) = driver.await {
             tracing::debug!(%address, %err, "connection to target ended");
@@ -302,7 +300,8 @@
         req: Request<UpstreamBody>,
         send_deadline: Time,
     ) -> Result<Response<Incoming>, SendError> {
-        self.write_deadline.set(send_deadline);
+        self.checks.write_deadline.set(send_deadline);
+        self.checks.expects_head.store(true, Ordering::Release);
         let resp = self.tx.try_send_request(req).await.map_err(|mut err| {
             if err.take_message().is_some() {
                 SendError::Unsent
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -11,12 +11,14 @@
 pub(crate) mod headers;
 pub mod keyed;
 pub mod kind;
+mod line_ends;
 pub(crate) mod owner_client;
 pub(crate) mod permits;
 pub mod quarantine;
 pub(crate) mod remote_permits;
 pub mod retry;
 pub mod route;
+mod target_stream;
 pub(crate) mod write_deadline;
 
 use std::net::SocketAddr;
--- a/src/dispatch/write_deadline.rs
+++ b/src/dispatch/write_deadline.rs
@@ -2,13 +2,7 @@
 //! as happens in a process that was paused in between.
 
 use std::io;
-use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::task::{Context, Poll};
-
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 use crate::units::{Clock, Time};
 
@@ -38,7 +32,7 @@
 
     /// Checks the deadline before a write. The first write after [`WriteDeadline::set`] clears
     /// it, so that the rest of the request is not affected.
-    fn check(&self) -> io::Result<()> {
+    pub(super) fn check(&self) -> io::Result<()> {
         let until = self.until_us.load(Ordering::Acquire);
         if until == Time::MAX.as_micros() {
             return Ok(());
@@ -52,62 +46,3 @@
         Ok(())
     }
 }
-
-/// A connection whose writes are checked against a [`WriteDeadline`].
-#[derive(Debug)]
-pub(crate) struct WriteDeadlineStream {
-    inner: TcpStream,
-    write_deadline: Arc<WriteDeadline>,
-}
-
-impl WriteDeadlineStream {
-    /// Wraps a connection.
-    pub(crate) fn new(inner: TcpStream, write_deadline: Arc<WriteDeadline>) -> Self {
-        Self {
-            inner,
-            write_deadline,
-        }
-    }
-}
-
-impl AsyncRead for WriteDeadlineStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for WriteDeadlineStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        self.write_deadline.check()?;
-        Pin::new(&mut self.inner).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.write_deadline.check()?;
-        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
-    }
-}
--- a/src/dispatch/write_deadline/tests.rs
+++ b/src/dispatch/write_deadline/tests.rs
@@ -1,29 +1,34 @@
 //! Tests of the deadline for a request's first write.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{WriteDeadline, WriteDeadlineStream};
+use super::WriteDeadline;
+use crate::dispatch::target_stream::{StreamChecks, TargetStream};
 use crate::units::{Clock, Time};
 
 #[tokio::test]
 async fn a_request_is_not_written_after_its_deadline() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("port");
     let address = listener.local_addr().expect("address");
-    let write_deadline = Arc::new(WriteDeadline::new(Clock::start()));
+    let checks = Arc::new(StreamChecks {
+        write_deadline: WriteDeadline::new(Clock::start()),
+        expects_head: AtomicBool::new(false),
+    });
     let stream = TcpStream::connect(address).await.expect("connection");
-    let mut stream = WriteDeadlineStream::new(stream, Arc::clone(&write_deadline));
+    let mut stream = TargetStream::new(stream, Arc::clone(&checks));
     let (mut peer, _) = listener.accept().await.expect("accepted");
 
-    write_deadline.set(Time::from_secs(3_600));
+    checks.write_deadline.set(Time::from_secs(3_600));
     stream.write_all(b"head").await.expect("written in time");
     stream
         .write_all(b"body")
         .await
         .expect("rest of the request");
-    write_deadline.set(Time::ZERO);
+    checks.write_deadline.set(Time::ZERO);
     assert!(stream.write_all(b"late").await.is_err());
     drop(stream);
 
--- a/tests/outcome.rs
+++ b/tests/outcome.rs
@@ -12,12 +12,14 @@
 };
 
 /// Responses to a call that are not valid HTTP.
-const NO_HTTP: [&str; 6] = [
+const NO_HTTP: [&str; 8] = [
     "HTTP/1.1 101 Switching\r\nx-call-id: CALL\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n",
     "HTTP/1.1 000 OK\r\nx-call-id: CALL\r\ncontent-length: 4\r\n\r\nbody",
     "HTTP/1.1 600 OK\r\nx-call-id: CALL\r\ncontent-length: 4\r\n\r\nbody",
     "HTTP/1.1 999 OK\r\nx-call-id: CALL\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
     "HTTP/1.0 200 OK\r\nx-call-id: CALL\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nx-call-id: CALL\r\ncontent-length: 4\r\n\nx-load: 1\r\n\r\nbody",
+    "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nx-call-id: CALL\r\ncontent-length: 2\r\n\nx: 1\r\n\r\nok",
     "HTTP/1.1 200 OK\r\nx-call-id: CALL\r\nx load: 1\r\ncontent-length: 4\r\n\r\nbody",
 ];
 
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -301,3 +301,20 @@
         }
     }
 }
+
+/// The library takes the line feed for the end of the head, and the rest for the body.
+#[tokio::test]
+async fn a_head_that_is_split_by_a_line_feed_tells_nothing_of_a_write() {
+    let server = RawServer::start().await.expect("server");
+    let store = etcd::client(server.address, TIMEOUT);
+    for length in ["content-length: 4\r\n", ""] {
+        let response = format!("HTTP/1.1 200 OK\r\n{length}\nx-id: 1\r\n\r\n{{}}");
+        let bytes = response.into_bytes();
+        server
+            .responses
+            .change(|responses| responses.request = bytes);
+        let err = (store.txn)(put("k", "v")).await.err();
+        let is_unknown = matches!(err, Some(StoreError::OutcomeUnknown(_)));
+        assert!(is_unknown, "{length:?}: {err:?}");
+    }
+}
