--- a/src/http1/status.rs
+++ b/src/http1/status.rs
@@ -5,8 +5,8 @@
 /// Highest status code of HTTP (RFC 9110, section 15). [`StatusCode`] also holds those up to 999.
 const MAX_STATUS: u16 = 599;
 
-/// A response has a status code that HTTP does not have, or not there. Like any response that can't
-/// be parsed, it says nothing of the request.
+/// A response has a status code that HTTP does not have, or an informational one where it ends an
+/// exchange. Like any response that can't be parsed, it says nothing of the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 #[display("invalid status code {_0:03}")]
 pub(crate) struct InvalidStatus(#[error(not(source))] u16);
