review: case 15, a popular request is blocked after three crashes beside it

Cause: a crash is attributed to every request that was in flight there, by a fingerprint without the caller, and a blocked request stays blocked.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -5,6 +5,7 @@
 mod joined;
 mod json;
 mod odd_entry;
+mod popular;
 mod record;
 mod server;
 mod setup;
@@ -38,6 +39,7 @@
         "upload" => upload::run(&record, has_trouble),
         "rejected" => joined::rejected(&record, has_trouble),
         "failed" => joined::failed(&record, has_trouble),
+        "popular" => popular::run(&record, has_trouble),
         "odd-entry" => odd_entry::run(&record, has_trouble),
         _ => Verdict::NotRun("no such case"),
     };
--- a/review/standin-3/server.rs
+++ b/review/standin-3/server.rs
@@ -1,7 +1,7 @@
 //! A server of one service: registers itself in the store, answers its health path and hands
 //! other requests to the case.
 
-use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -25,6 +25,8 @@
     freed: Condvar,
     sequence: AtomicU32,
     born: u64,
+    crashed: AtomicBool,
+    streams: Mutex<Vec<TcpStream>>,
     pub answers: AtomicU64,
 }
 
@@ -64,17 +66,49 @@
             // It started a while ago, so it is warm.
             born: unix_ms() - 60_000,
             answers: AtomicU64::new(0),
+            crashed: AtomicBool::new(false),
+            streams: Mutex::default(),
         });
         let served = server.clone();
+        listener.set_nonblocking(true).ok()?;
         std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            // The port is closed with the listener, at the end of this loop.
+            while !served.has_crashed() {
+                let Ok((stream, _)) = listener.accept() else {
+                    std::thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let Ok(copy) = stream.try_clone() else { continue };
+                let _ = stream.set_nonblocking(false);
+                let mut streams = served.streams.lock().unwrap();
+                streams.retain(|stream| stream.peer_addr().is_ok());
+                streams.push(copy);
+                drop(streams);
                 let (server, handler) = (served.clone(), handler.clone());
-                std::thread::spawn(move || server.serve(stream, &*handler));
+                std::thread::spawn(move || {
+                    let copy = stream.try_clone();
+                    server.serve(stream, &*handler);
+                    if let Ok(copy) = copy {
+                        let _ = copy.shutdown(Shutdown::Both);
+                    }
+                });
             }
         });
         Some(server)
     }
 
+    /// Ends the server as a crash does: nothing listens any more, and its connections end.
+    pub fn crash(&self) {
+        self.crashed.store(true, Ordering::SeqCst);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    pub fn has_crashed(&self) -> bool {
+        self.crashed.load(Ordering::SeqCst)
+    }
+
     fn serve(&self, stream: TcpStream, handler: &Handler) {
         let mut conn = Conn::new(stream);
         while let Some(head) = conn.read_head() {
@@ -172,13 +206,19 @@
         store.put(&self.key(), entry.as_bytes())
     }
 
-    /// Writes the entry every 1,500 ms from now on.
+    /// Writes the entry every 1,500 ms from now on. After a crash the store removes it when
+    /// three of these times have passed.
     pub fn register(self: &Arc<Self>, store: &Store) {
         let (server, store) = (self.clone(), store.clone());
         server.beat(&store);
         std::thread::spawn(move || {
             loop {
                 std::thread::sleep(Duration::from_millis(1500));
+                if server.has_crashed() {
+                    std::thread::sleep(Duration::from_millis(3000));
+                    store.remove(&server.key());
+                    return;
+                }
                 server.beat(&store);
             }
         });
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -69,6 +69,13 @@
         self.inner.changed.notify_all();
         rev
     }
+
+    pub fn remove(&self, key: &str) {
+        let mut data = self.inner.data.lock().unwrap();
+        data.remove(key);
+        drop(data);
+        self.inner.changed.notify_all();
+    }
 }
 
 impl Data {
